--- /dev/null
+++ b/crates/admit/src/shares.rs
@@ -0,0 +1,178 @@
+//! Max-min shares of client accounts over the fleet.
+//!
+//! Load pattern: a few accounts ask for many times their usual, all routers
+//! see a part of each account, and the engines give less than is asked for.
+//! Every router says how much it is asked for by each account; from the sum
+//! each works out the same shares and serves the same fraction of an account's
+//! requests, so the fraction holds wherever the account's callers connect. A
+//! peer that died drops out of the sum when what it said is too old.
+
+use std::collections::BTreeMap;
+
+use base::{Millis, Name};
+use serde::{Deserialize, Serialize};
+
+use crate::window::RateWindow;
+
+/// Bounds of the shares.
+#[derive(Clone, Copy, Debug)]
+pub struct ShareSettings {
+    /// Time over which demand is averaged, in milliseconds: half of the window
+    /// in which shares are owed, so that a change counts within the window.
+    pub window_ms: Millis,
+    /// Time after which what a peer said no longer counts, in milliseconds.
+    pub peer_age_ms: Millis,
+    /// Share that is granted beyond the computed one, as costs are estimates.
+    pub headroom: f64,
+    /// Requests' worth of credit that an account saves up at a router.
+    pub saved_requests: f64,
+}
+
+impl Default for ShareSettings {
+    fn default() -> Self {
+        Self { window_ms: 2_000, peer_age_ms: 2_000, headroom: 1.1, saved_requests: 2.0 }
+    }
+}
+
+/// Demand of one account at one router, in cost units per second.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct AccountRate {
+    pub asked: f32,
+}
+
+/// What the shares say of one request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ShareVerdict {
+    /// The account is within its share with this request.
+    pub is_within: bool,
+    /// Part of the account's demand that its share covers, 0 to 1.
+    pub covered: f64,
+    /// The account's share over the fleet, in cost units per second.
+    pub share: f64,
+    /// The account's demand over the fleet, in cost units per second.
+    pub asked: f64,
+}
+
+#[derive(Debug)]
+struct AccountState {
+    asked: RateWindow,
+    /// Cost units that may be granted before the share is used up.
+    credit: f64,
+    /// Moving average of a request's cost.
+    usual_cost: f64,
+}
+
+/// Shares of all accounts as this router sees them.
+#[derive(Debug)]
+pub struct AccountShares {
+    settings: ShareSettings,
+    accounts: BTreeMap<Name, AccountState>,
+    peers: BTreeMap<Name, (BTreeMap<Name, AccountRate>, Millis)>,
+    /// Cost units per second that the fleet gives; 0 when not known.
+    capacity: f64,
+}
+
+impl AccountShares {
+    pub fn new(settings: ShareSettings) -> Self {
+        Self { settings, accounts: BTreeMap::new(), peers: BTreeMap::new(), capacity: 0.0 }
+    }
+
+    /// Sets the fleet's capacity in cost units per second.
+    pub fn set_capacity(&mut self, capacity: f64) {
+        self.capacity = capacity;
+    }
+
+    /// What a peer is asked for, replacing what it said before.
+    pub fn peer_said(&mut self, peer: Name, rates: BTreeMap<Name, AccountRate>, now: Millis) {
+        self.peers.insert(peer, (rates, now));
+        let age = self.settings.peer_age_ms;
+        self.peers.retain(|_, (_, at)| now.saturating_sub(*at) <= age);
+    }
+
+    /// What this router is asked for, by account.
+    pub fn own_rates(&mut self, now: Millis) -> Vec<(Name, AccountRate)> {
+        let accounts = self.accounts.iter_mut();
+        accounts
+            .map(|(name, state)| (Name::clone(name), state.asked.per_second(now) as f32))
+            .filter(|(_, asked)| *asked > 0.0)
+            .map(|(name, asked)| (name, AccountRate { asked }))
+            .collect()
+    }
+
+    /// A request arrived that costs about `cost`; whether its account is within
+    /// its share.
+    pub fn arrived(&mut self, account: &Name, cost: f64, now: Millis) -> ShareVerdict {
+        let window_ms = self.settings.window_ms;
+        let state = self.accounts.entry(Name::clone(account)).or_insert_with(|| AccountState {
+            asked: RateWindow::new(window_ms),
+            credit: 0.0,
+            usual_cost: cost,
+        });
+        state.asked.add(cost, now);
+        state.usual_cost += (cost - state.usual_cost) * 0.1;
+        let demands = self.demands(now);
+        let asked = demands.get(account).copied().unwrap_or(0.0);
+        let level = water_level(demands.values().copied(), self.capacity);
+        let share = asked.min(level * self.settings.headroom);
+        let covered = if self.capacity <= 0.0 || asked <= 0.0 { 1.0 } else { share / asked };
+        let saved_requests = self.settings.saved_requests;
+        let Some(state) = self.accounts.get_mut(account) else {
+            return ShareVerdict { is_within: true, covered, share, asked };
+        };
+        let most = saved_requests * state.usual_cost.max(cost);
+        state.credit = (state.credit + covered * cost).min(most);
+        // Half of the cost is enough: what is overdrawn now is missing later.
+        let is_within = state.credit >= cost * 0.5;
+        if is_within {
+            state.credit -= cost;
+        }
+        ShareVerdict { is_within, covered, share, asked }
+    }
+
+    /// A request within its share was not served after all.
+    pub fn give_back(&mut self, account: &Name, cost: f64) {
+        let saved_requests = self.settings.saved_requests;
+        if let Some(state) = self.accounts.get_mut(account) {
+            let most = saved_requests * state.usual_cost.max(cost);
+            state.credit = (state.credit + cost).min(most);
+        }
+    }
+
+    /// Demand of each account over the fleet, in cost units per second.
+    fn demands(&mut self, now: Millis) -> BTreeMap<Name, f64> {
+        let own = self.accounts.iter_mut();
+        let mut demands: BTreeMap<Name, f64> =
+            own.map(|(name, state)| (Name::clone(name), state.asked.per_second(now))).collect();
+        let age = self.settings.peer_age_ms;
+        for (rates, at) in self.peers.values() {
+            if now.saturating_sub(*at) > age {
+                continue;
+            }
+            for (name, rate) in rates {
+                *demands.entry(Name::clone(name)).or_default() += f64::from(rate.asked);
+            }
+        }
+        demands
+    }
+}
+
+/// The level up to which every demand is met when all demands together are over
+/// `capacity`; infinite when they are not.
+pub fn water_level(demands: impl Iterator<Item = f64>, capacity: f64) -> f64 {
+    let mut demands: Vec<f64> = demands.filter(|demand| *demand > 0.0).collect();
+    if capacity <= 0.0 || demands.iter().sum::<f64>() <= capacity {
+        return f64::INFINITY;
+    }
+    demands.sort_by(f64::total_cmp);
+    let mut rest = capacity;
+    let mut count = demands.len();
+    for demand in demands {
+        let level = rest / count as f64;
+        if demand >= level {
+            return level;
+        }
+        rest -= demand;
+        count -= 1;
+    }
+    f64::INFINITY
+}
--- /dev/null
+++ b/crates/admit/tests/shares.rs
@@ -0,0 +1,145 @@
+//! Max-min shares over several routers, against a whole view of the demand.
+
+use std::collections::BTreeMap;
+
+use admit::{AccountShares, RateWindow, RepeatBudget, RepeatSettings, ShareSettings, water_level};
+use base::Name;
+use proptest::prelude::*;
+
+fn name(index: usize) -> Name {
+    format!("account-{index}").into()
+}
+
+/// Plays `seconds` of steady demand, tokens per second by router and account,
+/// and returns the tokens per second that each account was granted.
+fn play(demand: &[Vec<f64>], capacity: f64, cost: f64, seconds: u64) -> Vec<f64> {
+    let accounts = demand[0].len();
+    let mut routers: Vec<AccountShares> = demand
+        .iter()
+        .map(|_| {
+            let mut shares = AccountShares::new(ShareSettings::default());
+            shares.set_capacity(capacity);
+            shares
+        })
+        .collect();
+    let mut due = vec![vec![0.0; accounts]; demand.len()];
+    let mut granted = vec![0.0; accounts];
+    for now in (0..seconds * 1_000).step_by(10) {
+        for (at, router) in routers.iter_mut().enumerate() {
+            for account in 0..accounts {
+                due[at][account] += demand[at][account] * 0.01;
+                while due[at][account] >= cost {
+                    due[at][account] -= cost;
+                    let verdict = router.arrived(&name(account), cost, now);
+                    if verdict.is_within && now >= seconds * 500 {
+                        granted[account] += cost;
+                    }
+                }
+            }
+        }
+        if now % 200 == 0 {
+            let said: Vec<BTreeMap<_, _>> = routers
+                .iter_mut()
+                .map(|router| router.own_rates(now).into_iter().collect())
+                .collect();
+            for (at, router) in routers.iter_mut().enumerate() {
+                for (from, rates) in said.iter().enumerate().filter(|(from, _)| *from != at) {
+                    router.peer_said(format!("router-{from}").into(), rates.clone(), now);
+                }
+            }
+        }
+    }
+    granted.iter().map(|tokens| tokens / (seconds as f64 / 2.0)).collect()
+}
+
+#[test]
+fn a_flood_of_one_account_leaves_the_others_what_they_ask() {
+    // Account 0 asks ten times what the others do, mostly at one router.
+    let demand =
+        vec![vec![9_000.0, 300.0, 300.0], vec![500.0, 300.0, 300.0], vec![500.0, 400.0, 400.0]];
+    let granted = play(&demand, 4_000.0, 10.0, 20);
+    assert!(granted[1] > 950.0 && granted[2] > 950.0, "{granted:?}");
+    assert!(granted[0] > 1_900.0 && granted[0] < 2_400.0, "{granted:?}");
+}
+
+#[test]
+fn nobody_is_held_back_while_the_capacity_suffices() {
+    let demand = vec![vec![100.0, 50.0], vec![10.0, 300.0]];
+    let granted = play(&demand, 1_000.0, 5.0, 10);
+    assert!(granted[0] > 105.0 && granted[1] > 340.0, "{granted:?}");
+}
+
+#[test]
+fn a_peer_that_fell_silent_no_longer_counts() {
+    let mut shares = AccountShares::new(ShareSettings::default());
+    shares.set_capacity(100.0);
+    let rates = BTreeMap::from([(name(0), admit::AccountRate { asked: 1_000.0 })]);
+    shares.peer_said("gone".into(), rates, 0);
+    assert!(shares.arrived(&name(0), 10.0, 100).covered < 0.2);
+    for now in (2_200..4_000).step_by(200) {
+        shares.arrived(&name(0), 10.0, now);
+    }
+    assert!(shares.arrived(&name(0), 10.0, 4_000).covered > 0.99);
+}
+
+proptest! {
+    /// The level spends the whole capacity and no demand below it is cut.
+    #[test]
+    fn water_level_spends_the_capacity(
+        demands in prop::collection::vec(0.0..1_000.0_f64, 1..20),
+        capacity in 1.0..5_000.0_f64,
+    ) {
+        let level = water_level(demands.iter().copied(), capacity);
+        let served: f64 = demands.iter().map(|demand| demand.min(level)).sum();
+        let asked: f64 = demands.iter().sum();
+        prop_assert!((served - asked.min(capacity)).abs() < 1e-6 * capacity.max(1.0));
+    }
+
+    /// A window never forgets within its length and never remembers beyond it.
+    #[test]
+    fn a_window_counts_its_length(steps in prop::collection::vec((0u64..400, 0.0..10.0_f64), 1..60)) {
+        let mut window = RateWindow::new(1_000);
+        let mut now = 0;
+        let mut added = Vec::new();
+        for (step, amount) in steps {
+            now += step;
+            window.add(amount, now);
+            added.push((now, amount));
+            let within = |age: u64| -> f64 {
+                added.iter().filter(|(at, _)| now - at < age).map(|(_, amount)| amount).sum()
+            };
+            let sum = window.sum(now);
+            prop_assert!(sum >= within(900) - 1e-9 && sum <= within(1_000) + 1e-9);
+        }
+    }
+
+    /// Repeats of all routers stay within the budget in any window, also when
+    /// the routers lose sight of each other.
+    #[test]
+    fn repeats_stay_within_the_budget_of_the_fleet(
+        seed_requests in prop::collection::vec((0usize..4, 0u64..30, any::<bool>()), 50..400),
+    ) {
+        let settings = RepeatSettings { allowance: 20.0, ..RepeatSettings::default() };
+        let service: Name = "app".into();
+        let mut routers: Vec<RepeatBudget> = (0..4).map(|_| RepeatBudget::new(settings)).collect();
+        for router in &mut routers {
+            router.set_fleet(4, 0);
+        }
+        let mut now = 0;
+        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+        for (at, step, is_cut) in seed_requests {
+            now += step;
+            routers[at].set_fleet(if is_cut { 1 } else { 4 }, now);
+            routers[at].note_request(&service, now);
+            requests.push(now);
+            for _ in 0..3 {
+                if routers[at].take(&service, now) {
+                    repeats.push(now);
+                }
+            }
+            let within = |times: &[u64]| times.iter().filter(|time| now - **time < 10_000).count();
+            let budget = 0.2 * within(&requests) as f64 + 20.0;
+            prop_assert!(within(&repeats) as f64 <= budget);
+        }
+    }
+}
--- a/crates/base/src/clock.rs
+++ b/crates/base/src/clock.rs
@@ -1,24 +1,31 @@
 //! Monotonic time as the pure decisions see it.
 
-use std::time::Instant;
+use nix::time::{ClockId, clock_gettime};
 
-/// Milliseconds since the start of this process, by the monotonic clock.
+/// Milliseconds since the start of this process, by a clock that never goes
+/// back and that counts the time for which the machine was suspended.
 pub type Millis = u64;
 
 /// Source of [`Millis`]; one for each process.
 #[derive(Clone, Debug)]
 pub struct MonoClock {
-    start: Instant,
+    start: u128,
 }
 
 impl MonoClock {
     /// Starts counting at zero.
     pub fn start() -> Self {
-        Self { start: Instant::now() }
+        Self { start: since_boot_ms() }
     }
 
     /// Milliseconds since [`MonoClock::start`].
     pub fn now(&self) -> Millis {
-        u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
+        u64::try_from(since_boot_ms().saturating_sub(self.start)).unwrap_or(u64::MAX)
     }
 }
+
+fn since_boot_ms() -> u128 {
+    let time = clock_gettime(ClockId::CLOCK_BOOTTIME)
+        .unwrap_or_else(|cause| unreachable!("Linux has CLOCK_BOOTTIME since 2.6.39: {cause}"));
+    std::time::Duration::from(time).as_millis()
+}
--- a/crates/base/src/logs.rs
+++ b/crates/base/src/logs.rs
@@ -1,14 +1,37 @@
-//! Logs: one line of key=value pairs for each event, on standard error.
+//! Logs: one line of key=value pairs for each event.
 
+use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
-/// Starts logging at `level`, for instance `info`.
+/// Lines that wait to be written at most; further ones are dropped, so that a
+/// reader that stops reading never blocks a request.
+const WAITING_LINES: usize = 4_096;
+
+fn filter(level: &str) -> EnvFilter {
+    EnvFilter::try_new(level).unwrap_or_else(|_| EnvFilter::new("info"))
+}
+
+/// Starts logging on standard error at `level`, for instance `info`.
 pub fn init_logs(level: &str) {
-    let filter = EnvFilter::try_new(level).unwrap_or_else(|_| EnvFilter::new("info"));
     // A second call in one process keeps the first subscriber.
     let _ = tracing_subscriber::fmt()
-        .with_env_filter(filter)
+        .with_env_filter(filter(level))
         .with_ansi(false)
         .with_writer(std::io::stderr)
         .try_init();
 }
+
+/// Starts logging on standard output without ever blocking; what waits is
+/// written when the guard is dropped.
+pub fn init_stdout_logs(level: &str) -> WorkerGuard {
+    let (writer, guard) = NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(WAITING_LINES)
+        .finish(std::io::stdout());
+    let _ = tracing_subscriber::fmt()
+        .with_env_filter(filter(level))
+        .with_ansi(false)
+        .with_writer(writer)
+        .try_init();
+    guard
+}
--- a/crates/base/src/metrics.rs
+++ b/crates/base/src/metrics.rs
@@ -1,9 +1,13 @@
-//! Metrics over UDP, off unless the settings name an address.
+//! Metrics: over UDP, or kept in the process and served as text.
 
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::io;
 use std::net::{SocketAddr, UdpSocket};
+use std::sync::{Arc, Mutex, PoisonError};
 
 use anyhow::Context;
-use cadence::{BufferedUdpMetricSink, NopMetricSink, QueuingMetricSink, StatsdClient};
+use cadence::{BufferedUdpMetricSink, MetricSink, NopMetricSink, QueuingMetricSink, StatsdClient};
 
 /// Client that sends to `address`, or nowhere when there is none.
 ///
@@ -20,3 +24,83 @@
         .with_context(|| format!("step=open_metrics_sink peer={address}"))?;
     Ok(StatsdClient::from_sink(prefix, QueuingMetricSink::from(sink)))
 }
+
+/// Upper bounds of the histograms' buckets, in milliseconds: callers' aims lie
+/// between 100 ms and some seconds.
+const BUCKETS_MS: [f64; 10] =
+    [10.0, 25.0, 50.0, 100.0, 200.0, 300.0, 600.0, 1_200.0, 2_500.0, 10_000.0];
+
+#[derive(Debug, Default)]
+struct Histogram {
+    /// Values at or below each bound, beginning with the lowest.
+    buckets: [u64; BUCKETS_MS.len()],
+    count: u64,
+    sum: f64,
+}
+
+#[derive(Debug, Default)]
+struct Registry {
+    counters: BTreeMap<String, u64>,
+    histograms: BTreeMap<String, Histogram>,
+}
+
+/// What was counted so far, to be served as text.
+#[derive(Clone, Debug, Default)]
+pub struct MetricsText(Arc<Mutex<Registry>>);
+
+impl MetricsText {
+    /// The text format that scrapers of metrics read.
+    pub fn render(&self) -> String {
+        let registry = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut text = String::new();
+        for (name, count) in &registry.counters {
+            let _ = writeln!(text, "# TYPE {name}_total counter\n{name}_total {count}");
+        }
+        for (name, histogram) in &registry.histograms {
+            let _ = writeln!(text, "# TYPE {name} histogram");
+            for (bound, count) in BUCKETS_MS.iter().zip(histogram.buckets) {
+                let _ = writeln!(text, "{name}_bucket{{le=\"{bound}\"}} {count}");
+            }
+            let Histogram { count, sum, .. } = histogram;
+            let _ = writeln!(text, "{name}_bucket{{le=\"+Inf\"}} {count}");
+            let _ = writeln!(text, "{name}_sum {sum}\n{name}_count {count}");
+        }
+        text
+    }
+
+    /// Takes one line of the client, `name:value|type`.
+    fn take(&self, line: &str) -> Option<()> {
+        let (name, rest) = line.split_once(':')?;
+        let (value, kind) = rest.split_once('|')?;
+        let name = name.replace(['.', '-'], "_").to_ascii_lowercase();
+        let value: f64 = value.parse().ok()?;
+        let mut registry = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        match kind.split('|').next()? {
+            "c" => *registry.counters.entry(name).or_default() += value as u64,
+            "h" => {
+                let histogram = registry.histograms.entry(name).or_default();
+                histogram.count += 1;
+                histogram.sum += value;
+                for (bound, count) in BUCKETS_MS.iter().zip(&mut histogram.buckets) {
+                    *count += u64::from(value <= *bound);
+                }
+            }
+            _ => return None,
+        }
+        Some(())
+    }
+}
+
+impl MetricSink for MetricsText {
+    fn emit(&self, metric: &str) -> io::Result<usize> {
+        let unknown = || io::Error::other(format!("metric {metric} has an unknown type"));
+        self.take(metric).ok_or_else(unknown)?;
+        Ok(metric.len())
+    }
+}
+
+/// A client whose counts are kept in the process, and what serves them.
+pub fn text_metrics(prefix: &str) -> (StatsdClient, MetricsText) {
+    let text = MetricsText::default();
+    (StatsdClient::from_sink(prefix, text.clone()), text)
+}
--- /dev/null
+++ b/crates/gateway/src/call.rs
@@ -0,0 +1,149 @@
+//! The life of a request up to its sending: received, routed, admitted. Each
+//! state is a type, and only the next step turns it into the next state.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::{Millis, Name};
+use http::Method;
+use hyper::body::Bytes;
+use ntex::http::{HeaderMap, Payload, Request};
+use ntex::util::BytesMut;
+use route::{RouteSpec, RouteTable};
+use target::CallShape;
+
+use crate::context::GatewayContext;
+use crate::port::CallHead;
+use crate::refusal::{Refusal, RefusalCause};
+
+/// Time that a caller may take for a whole body, in milliseconds.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time after which a router without configuration is likely to have one, in
+/// milliseconds.
+const CONFIGURATION_WAIT_MS: u64 = 300;
+
+/// A request whose head was read.
+#[derive(Debug)]
+pub(crate) struct ReceivedCall {
+    pub(crate) method: Method,
+    /// Path and query, as the caller sent them.
+    pub(crate) target_uri: String,
+    pub(crate) path_len: usize,
+    pub(crate) host: String,
+    pub(crate) headers: HeaderMap,
+    pub(crate) head: CallHead,
+    pub(crate) at: Millis,
+}
+
+/// A request whose route and client account are known.
+#[derive(Debug)]
+pub(crate) struct RoutedCall {
+    pub(crate) received: ReceivedCall,
+    pub(crate) table: Arc<RouteTable>,
+    pub(crate) route: RouteSpec,
+    pub(crate) service: Name,
+    /// None on public routes.
+    pub(crate) account: Option<Name>,
+    /// When the caller or the route gives up, on the process's clock.
+    pub(crate) ends_at: Millis,
+}
+
+/// A request that may be sent, with its whole body.
+#[derive(Debug)]
+pub(crate) struct AdmittedCall {
+    pub(crate) routed: RoutedCall,
+    pub(crate) body: Bytes,
+    /// Its cost in the account's share, in tokens; 0 where shares do not hold.
+    pub(crate) cost: f64,
+    pub(crate) is_within_share: bool,
+}
+
+impl ReceivedCall {
+    pub(crate) fn read(context: &GatewayContext, request: &mut Request) -> Self {
+        let uri = request.uri();
+        let target_uri = uri.path_and_query().map_or("/", |uri| uri.as_str()).to_owned();
+        let path_len = uri.path().len();
+        let headers = request.headers().clone();
+        let host = headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
+        let host = host.or_else(|| uri.host()).unwrap_or_default().to_owned();
+        let head = context.format.read_call(&headers);
+        let method = request.method().clone();
+        Self { method, target_uri, path_len, host, headers, head, at: context.now() }
+    }
+
+    pub(crate) fn id(&self) -> &str {
+        self.head.id.as_deref().unwrap_or("-")
+    }
+
+    /// Finds route, service and client account.
+    ///
+    /// # Errors
+    /// There is no configuration, no route, or no account with the credential.
+    pub(crate) fn route(self, context: &GatewayContext) -> Result<RoutedCall, (Self, Refusal)> {
+        let refuse = |call: Self, cause| Err((call, Refusal::new(cause)));
+        let Some(table) = context.table() else {
+            let cause = RefusalCause::NoConfiguration;
+            return Err((self, Refusal::retry_after(cause, CONFIGURATION_WAIT_MS)));
+        };
+        let path = &self.target_uri[..self.path_len];
+        let Some(route) = table.route(&self.host, path).cloned() else {
+            return refuse(self, RefusalCause::NoRoute);
+        };
+        let account = match &self.head.credential {
+            _ if route.public => None,
+            Some(credential) => match table.account(credential) {
+                Some(account) => Some(Name::clone(account)),
+                None => return refuse(self, RefusalCause::BadCredential),
+            },
+            None => return refuse(self, RefusalCause::BadCredential),
+        };
+        let draw = base::stable_hash(&[self.id()]);
+        let Some(service) = route.service(draw).cloned() else {
+            return refuse(self, RefusalCause::NoTarget);
+        };
+        let wait_ms = self.head.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
+        let ends_at = self.at.saturating_add(wait_ms);
+        Ok(RoutedCall { received: self, table, route, service, account, ends_at })
+    }
+}
+
+impl RoutedCall {
+    pub(crate) fn id(&self) -> &str {
+        self.received.id()
+    }
+
+    pub(crate) fn shape(&self) -> &CallShape {
+        &self.received.head.shape
+    }
+
+    /// Memory of the service's engines in tokens; none for a plain service.
+    pub(crate) fn engine_memory(&self) -> Option<u64> {
+        let spec = self.table.service(&self.service)?;
+        spec.engine.as_ref().map(|engine| engine.memory_tokens)
+    }
+
+    pub(crate) fn left_ms(&self, now: Millis) -> u64 {
+        self.ends_at.saturating_sub(now)
+    }
+
+    /// Reads the whole body.
+    ///
+    /// # Errors
+    /// It is too large, too slow, or breaks off.
+    pub(crate) async fn read_body(&self, mut payload: Payload) -> Result<Bytes, Refusal> {
+        let most = self.table.limits.body_bytes;
+        let reading = async {
+            let mut body = BytesMut::new();
+            while let Some(chunk) = payload.recv().await {
+                let chunk = chunk.map_err(|_| Refusal::new(RefusalCause::BadRequest))?;
+                if body.len() + chunk.len() > most {
+                    return Err(Refusal::new(RefusalCause::BodyTooLarge));
+                }
+                body.extend_from_slice(&chunk);
+            }
+            Ok(Bytes::copy_from_slice(&body))
+        };
+        let read = tokio::time::timeout(BODY_TIMEOUT, reading).await;
+        read.unwrap_or(Err(Refusal::new(RefusalCause::BodyTooSlow)))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/context.rs
@@ -0,0 +1,175 @@
+//! The one context that is passed down: settings, clock, and the state of each
+//! area behind a lock of its own.
+
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use admit::{AccountShares, RepeatBudget, RepeatSettings, ShareSettings};
+use base::{Millis, MonoClock, Name, Origin};
+use cadence::StatsdClient;
+use mesh::{MemberSettings, MemberTable};
+use route::{RouteTable, VersionGate};
+use target::{ChoiceSettings, LoadBook, TargetRegistry};
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+use crate::port::CallFormat;
+use crate::settings::GatewaySettings;
+
+/// What this router knows from the configuration source.
+#[derive(Debug, Default)]
+pub(crate) struct SourceProgress {
+    /// Revision up to which the view is complete; 0 before the first.
+    pub(crate) revision: u64,
+    /// When the source last answered this router itself.
+    pub(crate) read_at: Option<Millis>,
+}
+
+/// Shared by every handler and task of the process. Locks are taken one at a
+/// time and never held over an await.
+#[derive(Debug)]
+pub(crate) struct GatewayContext {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) origin: Origin,
+    pub(crate) clock: MonoClock,
+    pub(crate) metrics: StatsdClient,
+    pub(crate) format: Arc<dyn CallFormat>,
+    pub(crate) choice: ChoiceSettings,
+    versions: Mutex<VersionGate>,
+    targets: Mutex<TargetRegistry>,
+    loads: Mutex<LoadBook>,
+    shares: Mutex<AccountShares>,
+    repeats: Mutex<RepeatBudget>,
+    members: Mutex<MemberTable>,
+    source: Mutex<SourceProgress>,
+    /// Wakes the beats when there is something that peers should hear at once.
+    pub(crate) beat_now: Notify,
+    /// Cancelled when the process ends.
+    pub(crate) stop: CancellationToken,
+    is_draining: AtomicBool,
+    open_calls: AtomicUsize,
+}
+
+/// Whole milliseconds of a time in seconds.
+pub(crate) fn millis(seconds: f64) -> Millis {
+    (seconds * 1_000.0) as Millis
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    // A panic in one handler leaves counts that are off by one at most.
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl GatewayContext {
+    pub(crate) fn new(
+        settings: GatewaySettings,
+        format: Arc<dyn CallFormat>,
+        metrics: StatsdClient,
+    ) -> Arc<Self> {
+        let origin = Origin::draw(Name::clone(&settings.instance));
+        let bounds = settings.bounds;
+        let share_settings = ShareSettings {
+            window_ms: millis(bounds.share_window_s) / 2,
+            ..ShareSettings::default()
+        };
+        let repeat_settings = RepeatSettings {
+            ratio: bounds.repeat_ratio,
+            allowance: bounds.repeat_allowance,
+            window_ms: millis(bounds.repeat_window_s),
+            ..RepeatSettings::default()
+        };
+        let beats = settings.listen.beats;
+        let seeds: Vec<_> = settings
+            .seeds
+            .iter()
+            .map(|seed| std::net::SocketAddr::new(seed.ip(), beats.port()))
+            .collect();
+        let members = MemberTable::new(origin.clone(), beats, &seeds, MemberSettings::default());
+        Arc::new(Self {
+            settings,
+            origin,
+            clock: MonoClock::start(),
+            metrics,
+            format,
+            choice: ChoiceSettings::default(),
+            versions: Mutex::default(),
+            targets: Mutex::default(),
+            loads: Mutex::default(),
+            shares: Mutex::new(AccountShares::new(share_settings)),
+            repeats: Mutex::new(RepeatBudget::new(repeat_settings)),
+            members: Mutex::new(members),
+            source: Mutex::default(),
+            beat_now: Notify::new(),
+            stop: CancellationToken::new(),
+            is_draining: AtomicBool::new(false),
+            open_calls: AtomicUsize::new(0),
+        })
+    }
+
+    pub(crate) fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// The configuration in force.
+    pub(crate) fn table(&self) -> Option<Arc<RouteTable>> {
+        lock(&self.versions).current()
+    }
+
+    pub(crate) fn versions(&self) -> MutexGuard<'_, VersionGate> {
+        lock(&self.versions)
+    }
+
+    pub(crate) fn targets(&self) -> MutexGuard<'_, TargetRegistry> {
+        lock(&self.targets)
+    }
+
+    pub(crate) fn loads(&self) -> MutexGuard<'_, LoadBook> {
+        lock(&self.loads)
+    }
+
+    pub(crate) fn shares(&self) -> MutexGuard<'_, AccountShares> {
+        lock(&self.shares)
+    }
+
+    pub(crate) fn repeats(&self) -> MutexGuard<'_, RepeatBudget> {
+        lock(&self.repeats)
+    }
+
+    pub(crate) fn members(&self) -> MutexGuard<'_, MemberTable> {
+        lock(&self.members)
+    }
+
+    pub(crate) fn source(&self) -> MutexGuard<'_, SourceProgress> {
+        lock(&self.source)
+    }
+
+    pub(crate) fn start_draining(&self) {
+        self.is_draining.store(true, Ordering::Relaxed);
+        self.beat_now.notify_one();
+    }
+
+    pub(crate) fn is_draining(&self) -> bool {
+        self.is_draining.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn open_calls(&self) -> usize {
+        self.open_calls.load(Ordering::Relaxed)
+    }
+}
+
+/// Counts a request as open until it is dropped.
+#[derive(Debug)]
+pub(crate) struct OpenCall(Arc<GatewayContext>);
+
+impl OpenCall {
+    pub(crate) fn new(context: &Arc<GatewayContext>) -> Self {
+        context.open_calls.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(context))
+    }
+}
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        self.0.open_calls.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/pipeline.rs
@@ -0,0 +1,182 @@
+//! The way of one request: received, routed, authenticated, admitted, sent,
+//! answered. Each step is a function of its own; what it decides on is passed
+//! in.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::header::CONTENT_LENGTH;
+use ntex::http::{ConnectionType, HeaderMap, Request, Response};
+use ntex::io::IoRef;
+use ntex::util::Bytes;
+use tokio::time::Instant;
+
+use crate::call::{AdmittedCall, ReceivedCall};
+use crate::refusal::{Refusal, RefusalCause};
+use crate::relay::{RelayBody, StreamRelay, read_whole};
+use crate::report::{CallEnd, CallReport};
+use crate::send::{Attempts, HOP_HEADERS, TargetAnswer, send};
+use crate::share;
+use crate::worker::Worker;
+
+/// Largest answer that is read whole before it is passed on, in bytes: beyond
+/// it no failure can be turned into a repeat.
+const MAX_WHOLE_BYTES: usize = 8 << 20;
+
+/// An answer that is ready to be passed on.
+enum ReadyAnswer {
+    Whole(Response<RelayBody>),
+    Stream(http::response::Parts, crate::relay::OpenStream, Option<hyper::body::Bytes>),
+}
+
+/// Serves one request.
+pub(crate) async fn serve(worker: Rc<Worker>, mut request: Request) -> Response<RelayBody> {
+    let context = &worker.context;
+    let io = request.io().cloned();
+    let received = ReceivedCall::read(context, &mut request);
+    let mut report = CallReport::new(context, received.id(), received.at);
+    let id = received.head.id.clone();
+    let refuse = |report: &mut CallReport, refusal: Refusal| {
+        report.refused(&refusal);
+        let id = id.as_deref().map(|id| (context.format.id_header(), id));
+        refusal.into_response(id, context.is_draining())
+    };
+    let routed = match received.route(context) {
+        Ok(routed) => routed,
+        Err((_, refusal)) => return refuse(&mut report, refusal),
+    };
+    report.routed(&routed);
+    let body = match routed.read_body(request.take_payload()).await {
+        Ok(body) => body,
+        Err(refusal) => return refuse(&mut report, refusal),
+    };
+    let admitted = match share::admit(context, routed, body, context.now()) {
+        Ok(admitted) => admitted,
+        Err((_, refusal)) => return refuse(&mut report, refusal),
+    };
+    report.admitted(admitted.is_within_share);
+    let mut attempts = Attempts::default();
+    let left_ms = admitted.routed.left_ms(context.now());
+    let ends_at = Instant::now() + Duration::from_millis(left_ms);
+    let answering = answer(&worker, &admitted, &mut attempts);
+    let result = tokio::time::timeout_at(ends_at, answering).await;
+    report.sent(&attempts);
+    let ready = match result {
+        Ok(Ok(ready)) => ready,
+        Ok(Err(refusal)) => {
+            give_back(&worker, &admitted);
+            return refuse(&mut report, refusal);
+        }
+        Err(_) => {
+            give_back(&worker, &admitted);
+            let cause = if attempts.may_have_run {
+                RefusalCause::Timeout
+            } else {
+                RefusalCause::TimeoutUnsent
+            };
+            return refuse(&mut report, Refusal::new(cause));
+        }
+    };
+    let mut response = match ready {
+        ReadyAnswer::Whole(response) => {
+            report.first_byte(response.status().as_u16());
+            report.ended(CallEnd::Answered, "complete");
+            response
+        }
+        ReadyAnswer::Stream(parts, open, first) => {
+            report.first_byte(parts.status.as_u16());
+            let opened = (open, first);
+            stream(&worker, admitted, attempts, parts, opened, io, ends_at, report)
+        }
+    };
+    if context.is_draining() {
+        response.head_mut().set_connection_type(ConnectionType::Close);
+    }
+    response
+}
+
+/// Sends until a whole answer, or the beginning of a stream, is there.
+async fn answer(
+    worker: &Rc<Worker>,
+    call: &AdmittedCall,
+    attempts: &mut Attempts,
+) -> Result<ReadyAnswer, Refusal> {
+    loop {
+        let answer = send(worker, call, attempts).await?;
+        let is_stream = call.routed.route.kind.is_stream() && answer.response.status().is_success();
+        let result =
+            if is_stream { begin_stream(answer).await } else { whole(worker, answer).await };
+        let cause = match result {
+            Ok(ready) => return Ok(ready),
+            Err(cause) => cause,
+        };
+        let may_repeat = call.routed.route.kind.may_repeat();
+        let goes_on = may_repeat && crate::send::may_send_again(worker, call, attempts);
+        tracing::info!(
+            unit = "pipeline",
+            event = "answer_lost",
+            request = call.routed.id(),
+            target = attempts.tried.last().map(|target| &**target),
+            cause,
+            goes_on,
+        );
+        if !goes_on {
+            return Err(Refusal::new(RefusalCause::AnswerLost));
+        }
+    }
+}
+
+async fn begin_stream(answer: TargetAnswer) -> Result<ReadyAnswer, String> {
+    let mut parts = http::Response::new(()).into_parts().0;
+    parts.status = answer.response.status();
+    parts.headers = answer.response.headers().clone();
+    let (open, first) = StreamRelay::open(answer).await?;
+    Ok(ReadyAnswer::Stream(parts, open, first))
+}
+
+async fn whole(worker: &Worker, answer: TargetAnswer) -> Result<ReadyAnswer, String> {
+    let status = answer.response.status();
+    let headers = pass_headers(answer.response.headers());
+    answer.outstanding.first_byte();
+    let bytes = read_whole(worker, answer, MAX_WHOLE_BYTES).await?;
+    let body = RelayBody::Whole(Bytes::copy_from_slice(&bytes));
+    let mut response = Response::with_body(status, body);
+    response.head_mut().headers = headers;
+    Ok(ReadyAnswer::Whole(response))
+}
+
+#[expect(clippy::too_many_arguments, reason = "all that a stream outlives its handler with")]
+fn stream(
+    worker: &Rc<Worker>,
+    call: AdmittedCall,
+    attempts: Attempts,
+    parts: http::response::Parts,
+    opened: (crate::relay::OpenStream, Option<hyper::body::Bytes>),
+    io: Option<IoRef>,
+    ends_at: Instant,
+    report: CallReport,
+) -> Response<RelayBody> {
+    let worker = Rc::clone(worker);
+    let relay = StreamRelay::new(worker, call, attempts, opened, io, ends_at, report);
+    let mut response = Response::with_body(parts.status, relay.into_body());
+    response.head_mut().headers = pass_headers(&parts.headers);
+    response
+}
+
+/// The headers of a target's answer that concern the caller.
+fn pass_headers(headers: &http::HeaderMap) -> HeaderMap {
+    let mut passed = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        if !HOP_HEADERS.contains(name) && *name != CONTENT_LENGTH {
+            passed.append(name.clone(), value.into());
+        }
+    }
+    passed
+}
+
+fn give_back(worker: &Worker, call: &AdmittedCall) {
+    let account = call.routed.account.as_ref().filter(|_| call.is_within_share);
+    if let Some(account) = account.filter(|_| call.cost > 0.0) {
+        worker.context.shares().give_back(account, call.cost);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/refusal.rs
@@ -0,0 +1,100 @@
+//! Answers that the gateway gives itself.
+
+use ntex::http::{Response, ResponseHead, StatusCode};
+use ntex::util::Bytes;
+
+use crate::relay::RelayBody;
+
+/// Why the gateway answers itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum RefusalCause {
+    /// No configuration is known yet.
+    NoConfiguration,
+    NoRoute,
+    BadCredential,
+    BadRequest,
+    BodyTooLarge,
+    BodyTooSlow,
+    /// The client account is over its share and the targets are busy.
+    OverShare,
+    /// No target can take the request in time.
+    TargetsFull,
+    /// No target is published or can be reached.
+    NoTarget,
+    /// A target did not run it, and it may not be sent to another.
+    NotRun,
+    /// The time is over and it was not sent.
+    TimeoutUnsent,
+    /// The time is over and it may have run.
+    Timeout,
+    /// It may have run and its answer is lost.
+    AnswerLost,
+}
+
+/// An answer of the gateway's own.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Refusal {
+    pub(crate) cause: RefusalCause,
+    /// When a place is likely, in milliseconds.
+    pub(crate) retry_after_ms: Option<u64>,
+}
+
+impl Refusal {
+    pub(crate) fn new(cause: RefusalCause) -> Self {
+        Self { cause, retry_after_ms: None }
+    }
+
+    pub(crate) fn retry_after(cause: RefusalCause, ms: u64) -> Self {
+        Self { cause, retry_after_ms: Some(ms) }
+    }
+
+    /// The status; 408, 429 and 503 promise that the request did not run.
+    pub(crate) fn status(&self) -> StatusCode {
+        use RefusalCause as Cause;
+        match self.cause {
+            Cause::NoRoute => StatusCode::NOT_FOUND,
+            Cause::BadCredential => StatusCode::UNAUTHORIZED,
+            Cause::BadRequest => StatusCode::BAD_REQUEST,
+            Cause::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Cause::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
+            Cause::OverShare => StatusCode::TOO_MANY_REQUESTS,
+            Cause::NoConfiguration
+            | Cause::TargetsFull
+            | Cause::NoTarget
+            | Cause::NotRun
+            | Cause::TimeoutUnsent => StatusCode::SERVICE_UNAVAILABLE,
+            Cause::Timeout => StatusCode::GATEWAY_TIMEOUT,
+            Cause::AnswerLost => StatusCode::BAD_GATEWAY,
+        }
+    }
+
+    pub(crate) fn into_response(
+        self,
+        id: Option<(http::HeaderName, &str)>,
+        is_closing: bool,
+    ) -> Response<RelayBody> {
+        let text = format!("{{\"error\":\"{:?}\"}}", self.cause);
+        let body = RelayBody::Whole(Bytes::from(text));
+        let mut response = Response::with_body(self.status(), body);
+        let head = response.head_mut();
+        set_header(head, http::header::CONTENT_TYPE, "application/json");
+        if let Some(ms) = self.retry_after_ms {
+            let seconds = format!("{:.3}", ms as f64 / 1_000.0);
+            set_header(head, http::header::RETRY_AFTER, &seconds);
+        }
+        if let Some((name, id)) = id {
+            set_header(head, name, id);
+        }
+        if is_closing {
+            head.set_connection_type(ntex::http::ConnectionType::Close);
+        }
+        response
+    }
+}
+
+fn set_header(head: &mut ResponseHead, name: http::HeaderName, value: &str) {
+    // Only ids that came in a header are set, so they are valid values.
+    if let Ok(value) = ntex::http::header::HeaderValue::from_str(value) {
+        head.headers.insert(name, value);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/report.rs
@@ -0,0 +1,133 @@
+//! One log line for the end of each request, with what decided it.
+
+use std::sync::Arc;
+
+use base::{Millis, Name};
+use cadence::prelude::*;
+
+use crate::call::RoutedCall;
+use crate::context::{GatewayContext, OpenCall};
+use crate::refusal::Refusal;
+use crate::send::Attempts;
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum CallEnd {
+    Answered,
+    Refused,
+    /// A stream was broken off by its target.
+    Broken,
+    /// The time was over while the answer was on its way.
+    Cut,
+    /// The caller left before the end.
+    Left,
+}
+
+/// Collects what is known of a request and logs it once, at its end.
+#[derive(Debug)]
+pub(crate) struct CallReport {
+    context: Arc<GatewayContext>,
+    started_at: Millis,
+    first_at: Option<Millis>,
+    request: Name,
+    route: Option<Name>,
+    account: Option<Name>,
+    version: Option<u64>,
+    target: Option<Name>,
+    status: Option<u16>,
+    sent: u32,
+    is_within_share: Option<bool>,
+    is_ended: bool,
+    _open: OpenCall,
+}
+
+impl CallReport {
+    pub(crate) fn new(context: &Arc<GatewayContext>, id: &str, started_at: Millis) -> Self {
+        Self {
+            context: Arc::clone(context),
+            started_at,
+            first_at: None,
+            request: id.into(),
+            route: None,
+            account: None,
+            version: None,
+            target: None,
+            status: None,
+            sent: 0,
+            is_within_share: None,
+            is_ended: false,
+            _open: OpenCall::new(context),
+        }
+    }
+
+    pub(crate) fn routed(&mut self, call: &RoutedCall) {
+        self.route = Some(Name::clone(&call.route.name));
+        self.account.clone_from(&call.account);
+        self.version = Some(call.table.version);
+    }
+
+    pub(crate) fn admitted(&mut self, is_within_share: bool) {
+        self.is_within_share = Some(is_within_share);
+    }
+
+    pub(crate) fn sent(&mut self, attempts: &Attempts) {
+        self.sent = attempts.sent;
+        self.target = attempts.tried.last().cloned();
+    }
+
+    /// The first bytes of the answer came.
+    pub(crate) fn first_byte(&mut self, status: u16) {
+        self.first_at = Some(self.context.now());
+        self.status = Some(status);
+    }
+
+    pub(crate) fn refused(&mut self, refusal: &Refusal) {
+        self.status = Some(refusal.status().as_u16());
+        let retry_after_ms = refusal.retry_after_ms;
+        let cause = format!("{:?}", refusal.cause);
+        self.context.metrics.incr(&format!("refused.{cause}")).ok();
+        self.end_with(CallEnd::Refused, &cause, retry_after_ms);
+    }
+
+    pub(crate) fn ended(&mut self, end: CallEnd, cause: &str) {
+        self.end_with(end, cause, None);
+    }
+
+    fn end_with(&mut self, end: CallEnd, cause: &str, retry_after_ms: Option<u64>) {
+        if std::mem::replace(&mut self.is_ended, true) {
+            return;
+        }
+        let now = self.context.now();
+        let took_ms = now.saturating_sub(self.started_at);
+        let first_ms = self.first_at.map(|at| at.saturating_sub(self.started_at));
+        let metrics = &self.context.metrics;
+        metrics.incr(&format!("calls.{end:?}")).ok();
+        metrics.histogram("call_ms", took_ms).ok();
+        if let Some(first_ms) = first_ms {
+            metrics.histogram("first_byte_ms", first_ms).ok();
+        }
+        tracing::info!(
+            unit = "call",
+            event = "ended",
+            request = %self.request,
+            ?end,
+            cause,
+            status = self.status,
+            route = self.route.as_deref(),
+            account = self.account.as_deref(),
+            target = self.target.as_deref(),
+            sent = self.sent,
+            within_share = self.is_within_share,
+            retry_after_ms,
+            first_ms,
+            took_ms,
+            version = self.version,
+        );
+    }
+}
+
+impl Drop for CallReport {
+    fn drop(&mut self) {
+        self.end_with(CallEnd::Left, "caller closed its connection", None);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/run.rs
@@ -0,0 +1,189 @@
+//! Start, drain and end of the gateway.
+
+use std::io;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use base::MetricsText;
+use ntex::SharedCfg;
+use ntex::http::{HttpService, HttpServiceConfig, Request, Response};
+use ntex::service::fn_service;
+use ntex::time::Seconds;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::beats::start_beats;
+use crate::context::{GatewayContext, millis};
+use crate::follow::run_follow;
+use crate::port::{CallFormat, StateSource};
+use crate::relay::RelayBody;
+use crate::settings::GatewaySettings;
+use crate::worker::Worker;
+use crate::{pipeline, serve};
+
+/// Time that a caller may take for the head of its request.
+const HEAD_TIMEOUT: Seconds = Seconds(5);
+/// Time for which an idle caller's connection is kept: longer than any caller
+/// reuses one.
+const CALLER_KEEP_ALIVE: Seconds = Seconds(75);
+/// Connections that wait to be accepted: a full queue costs callers seconds.
+const BACKLOG: i32 = 1_024;
+/// Time between two looks at the open requests of a drain.
+const DRAIN_LOOK: Duration = Duration::from_millis(50);
+/// Time before the kill within which the process ends by itself, in
+/// milliseconds.
+const DRAIN_MARGIN_MS: u64 = 500;
+/// Answers that callers may keep for this many leases.
+const LEASES_KEPT: f64 = 3.0;
+/// Time between two sweeps of kept connections.
+const SWEEP_PERIOD: Duration = Duration::from_secs(1);
+
+/// Runs a gateway until it is told to stop.
+///
+/// # Errors
+/// An address is taken.
+pub fn run<S: StateSource + 'static>(
+    settings: GatewaySettings,
+    format: Arc<dyn CallFormat>,
+    source: S,
+) -> anyhow::Result<()> {
+    settings.check()?;
+    let _guard = base::init_stdout_logs(&settings.log);
+    let system = ntex::rt::System::new("gateway", ntex::rt::DefaultRuntime);
+    system.block_on(serve_all(settings, format, source))
+}
+
+async fn serve_all<S: StateSource + 'static>(
+    settings: GatewaySettings,
+    format: Arc<dyn CallFormat>,
+    source: S,
+) -> anyhow::Result<()> {
+    let (metrics, text) = base::text_metrics("poplar");
+    let context = GatewayContext::new(settings, format, metrics);
+    tracing::info!(
+        unit = "run",
+        event = "started",
+        origin = %context.origin,
+        domain = %context.settings.failure_domain,
+        callers = %context.settings.listen.callers,
+        seeds = ?context.settings.seeds,
+    );
+    start_beats(&context).await?;
+    let server = listen(&context, &text)?;
+    ntex::rt::spawn(run_follow(Arc::clone(&context), source));
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    drain(&context).await;
+    context.stop.cancel();
+    server.stop(false).await;
+    tracing::info!(unit = "run", event = "stopped");
+    Ok(())
+}
+
+/// Takes no new callers' connections by address answers and readiness, serves
+/// what still comes, and ends when callers had time to go elsewhere.
+async fn drain(context: &Arc<GatewayContext>) {
+    let start = Instant::now();
+    context.start_draining();
+    tracing::info!(unit = "run", event = "drain", open = context.open_calls());
+    let stop_ms = millis(context.settings.bounds.stop_s);
+    let deadline = Duration::from_millis(stop_ms.saturating_sub(DRAIN_MARGIN_MS));
+    let notice = Duration::from_secs_f64(serve::LEASE_S * LEASES_KEPT);
+    while start.elapsed() < deadline {
+        if start.elapsed() >= notice && context.open_calls() == 0 {
+            break;
+        }
+        tokio::time::sleep(DRAIN_LOOK).await;
+    }
+    let took_ms = start.elapsed().as_millis() as u64;
+    tracing::info!(unit = "run", event = "drained", took_ms, cut = context.open_calls());
+}
+
+fn http_config() -> SharedCfg {
+    let config = HttpServiceConfig::new()
+        .set_headers_read_rate(HEAD_TIMEOUT, HEAD_TIMEOUT, 1_024)
+        .set_keepalive(CALLER_KEEP_ALIVE);
+    SharedCfg::new("gateway").add(config).into()
+}
+
+fn listen(
+    context: &Arc<GatewayContext>,
+    text: &MetricsText,
+) -> anyhow::Result<ntex::server::Server> {
+    type Answer = Result<Response<RelayBody>, io::Error>;
+    let listen = context.settings.listen.clone();
+    let at = |step: &'static str| move |cause: io::Error| anyhow::anyhow!("step={step}: {cause}");
+    let shared = Arc::clone(context);
+    let mut builder = ntex::server::build()
+        .workers(1)
+        .backlog(BACKLOG)
+        .disable_signals()
+        .bind("callers", listen.callers, async move |_| {
+            let worker = Worker::new(Arc::clone(&shared));
+            ntex::rt::spawn(run_sweep(Rc::clone(&worker)));
+            HttpService::h1(fn_service(move |request: Request| {
+                let worker = Rc::clone(&worker);
+                async move { Answer::Ok(pipeline::serve(worker, request).await) }
+            }))
+        })
+        .map_err(at("bind_callers"))?
+        .config("callers", http_config());
+    let shared = Arc::clone(context);
+    builder = builder
+        .bind("ready", listen.ready, async move |_| {
+            let context = Arc::clone(&shared);
+            HttpService::h1(fn_service(move |request: Request| {
+                let response = serve::ready(&context, &request);
+                async move { Answer::Ok(response) }
+            }))
+        })
+        .map_err(at("bind_ready"))?
+        .config("ready", http_config());
+    let shared = Arc::clone(context);
+    builder = builder
+        .bind("addresses", listen.addresses, async move |_| {
+            let context = Arc::clone(&shared);
+            HttpService::h1(fn_service(move |request: Request| {
+                let response = serve::addresses(&context, &request);
+                async move { Answer::Ok(response) }
+            }))
+        })
+        .map_err(at("bind_addresses"))?
+        .config("addresses", http_config());
+    let shared = Arc::clone(context);
+    builder = builder
+        .bind("peers", listen.peers, async move |_| {
+            let context = Arc::clone(&shared);
+            HttpService::h1(fn_service(move |request: Request| {
+                let context = Arc::clone(&context);
+                async move { Answer::Ok(serve::peer(context, request).await) }
+            }))
+        })
+        .map_err(at("bind_peers"))?
+        .config("peers", http_config());
+    if let Some(metrics) = listen.metrics {
+        let text = text.clone();
+        builder = builder
+            .bind("metrics", metrics, async move |_| {
+                let text = text.clone();
+                HttpService::h1(fn_service(move |_: Request| {
+                    let response = serve::metrics(text.render());
+                    async move { Answer::Ok(response) }
+                }))
+            })
+            .map_err(at("bind_metrics"))?
+            .config("metrics", http_config());
+    }
+    Ok(builder.run())
+}
+
+async fn run_sweep(worker: Rc<Worker>) {
+    while !worker.context.stop.is_cancelled() {
+        tokio::time::sleep(SWEEP_PERIOD).await;
+        worker.sweep();
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/send.rs
@@ -0,0 +1,335 @@
+//! Sends an admitted request to a target, and to another one where the request
+//! may be repeated.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::Name;
+use cadence::prelude::*;
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use outbound::{Connection, ExchangeError};
+use target::{Outcome, OutstandingKey, Placement, RefusedChoice, TargetEntry, TargetKey, choose};
+
+use crate::call::AdmittedCall;
+use crate::port::{AnswerHead, SendHead};
+use crate::refusal::{Refusal, RefusalCause};
+use crate::worker::{Reuse, Worker};
+
+/// Connections that are refused in a row before the request is given up.
+const MAX_UNSENT: usize = 3;
+/// Time after which another target is likely to be known, in milliseconds:
+/// about the time that a failed one is set aside.
+const NO_TARGET_WAIT_MS: u64 = 500;
+/// Bounds of the time after which a place is said to be likely, in
+/// milliseconds.
+const FULL_WAIT_MS: (u64, u64) = (200, 2_000);
+
+/// Headers that concern one connection only.
+pub(crate) const HOP_HEADERS: [HeaderName; 7] = [
+    http::header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    http::header::TE,
+    http::header::TRAILER,
+    http::header::TRANSFER_ENCODING,
+    http::header::UPGRADE,
+];
+
+/// A request under way at a target; dropping it forgets the request.
+#[derive(Debug)]
+pub(crate) struct Outstanding {
+    worker: Rc<Worker>,
+    pub(crate) entry: TargetEntry,
+    key: TargetKey,
+    request: Option<OutstandingKey>,
+}
+
+impl Outstanding {
+    pub(crate) fn first_byte(&self) {
+        let context = &self.worker.context;
+        let now = context.now();
+        if let Some(request) = self.request {
+            context.loads().first_byte(self.key, request, now);
+        }
+    }
+
+    /// The request ended; what that says of the target's health.
+    pub(crate) fn end(mut self, outcome: Outcome) {
+        self.settle(Some(outcome));
+    }
+
+    fn settle(&mut self, outcome: Option<Outcome>) {
+        let Some(request) = self.request.take() else { return };
+        let context = &self.worker.context;
+        let now = context.now();
+        let mut loads = context.loads();
+        let is_set_aside = loads.end(self.key, request, outcome, now);
+        let rate = loads.get(self.key).map_or(0.0, |load| load.health.failure_rate());
+        drop(loads);
+        if is_set_aside {
+            let target = &self.entry.id;
+            tracing::info!(unit = "health", event = "set_aside", %target, ?outcome, rate);
+        }
+    }
+}
+
+impl Drop for Outstanding {
+    fn drop(&mut self) {
+        self.settle(None);
+    }
+}
+
+/// A target's answer whose head was read.
+#[derive(Debug)]
+pub(crate) struct TargetAnswer {
+    pub(crate) response: Response<Incoming>,
+    pub(crate) head: AnswerHead,
+    pub(crate) connection: Connection,
+    pub(crate) outstanding: Outstanding,
+}
+
+/// What one request did so far.
+#[derive(Debug, Default)]
+pub(crate) struct Attempts {
+    /// Targets that it was sent to or that could not be reached.
+    pub(crate) tried: Vec<Name>,
+    /// Times that it was sent.
+    pub(crate) sent: u32,
+    unsent: usize,
+    /// It may have run.
+    pub(crate) may_have_run: bool,
+    /// Events of a resumed stream that the caller has.
+    pub(crate) last_event: Option<u64>,
+}
+
+/// How one attempt ended.
+enum AttemptEnd {
+    Answer(Box<TargetAnswer>),
+    /// Nothing was written.
+    NotSent(String),
+    /// The target said that it did not run it.
+    NotRun(u16),
+    /// It may have run.
+    Lost(String),
+}
+
+/// Sends the request until a target answers.
+///
+/// # Errors
+/// No target can take it, or it may not be sent again.
+pub(crate) async fn send(
+    worker: &Rc<Worker>,
+    call: &AdmittedCall,
+    attempts: &mut Attempts,
+) -> Result<TargetAnswer, Refusal> {
+    let context = &worker.context;
+    let route = &call.routed.route;
+    let may_repeat = route.kind.may_repeat();
+    loop {
+        let placement = place(worker, call, &attempts.tried)?;
+        let entry = placement.entry.clone();
+        attempts.tried.push(Name::clone(&entry.id));
+        let end = attempt(worker, call, placement, attempts).await;
+        let (cause, refusal) = match end {
+            AttemptEnd::Answer(answer) => {
+                let failed = answer.response.status().is_server_error();
+                if !failed || !may_repeat || !may_send_again(worker, call, attempts) {
+                    return Ok(*answer);
+                }
+                let status = answer.response.status().as_u16();
+                answer.outstanding.end(Outcome::Failed);
+                (format!("answered with status {status}"), None)
+            }
+            AttemptEnd::NotSent(cause) => {
+                attempts.unsent += 1;
+                let wait_ms = NO_TARGET_WAIT_MS;
+                let refusal = Refusal::retry_after(RefusalCause::NoTarget, wait_ms);
+                let is_last = attempts.unsent >= MAX_UNSENT;
+                (cause, is_last.then_some(refusal))
+            }
+            AttemptEnd::NotRun(status) => {
+                let refusal = Refusal::retry_after(RefusalCause::NotRun, NO_TARGET_WAIT_MS);
+                let again = may_send_again(worker, call, attempts);
+                (format!("not run, status {status}"), (!again).then_some(refusal))
+            }
+            AttemptEnd::Lost(cause) => {
+                attempts.may_have_run = true;
+                let again = may_repeat && may_send_again(worker, call, attempts);
+                (cause, (!again).then_some(Refusal::new(RefusalCause::AnswerLost)))
+            }
+        };
+        tracing::info!(
+            unit = "send",
+            event = "attempt_failed",
+            request = call.routed.id(),
+            target = %entry.id,
+            address = %entry.address,
+            cause,
+            sent = attempts.sent,
+            goes_on = refusal.is_none(),
+        );
+        if let Some(refusal) = refusal {
+            // What may have run is never said not to have run.
+            return Err(if attempts.may_have_run && !may_repeat {
+                Refusal::new(RefusalCause::AnswerLost)
+            } else {
+                refusal
+            });
+        }
+        context.metrics.incr("repeats").ok();
+    }
+}
+
+/// Whether the route and the budget allow one more send.
+pub(crate) fn may_send_again(worker: &Worker, call: &AdmittedCall, attempts: &Attempts) -> bool {
+    let context = &worker.context;
+    let now = context.now();
+    attempts.sent < call.routed.route.max_attempts
+        && call.routed.left_ms(now) > 0
+        && context.repeats().take(&call.routed.service, now)
+}
+
+fn place(worker: &Worker, call: &AdmittedCall, tried: &[Name]) -> Result<Placement, Refusal> {
+    let context = &worker.context;
+    let now = context.now();
+    let routed = &call.routed;
+    let candidates: Vec<TargetEntry> =
+        context.targets().serving(&routed.service, now).cloned().collect();
+    let choice = choose(
+        &mut context.loads(),
+        candidates.iter(),
+        routed.shape(),
+        routed.engine_memory(),
+        tried,
+        &context.settings.failure_domain,
+        &context.choice,
+        now,
+    );
+    choice.map_err(|refused| match refused {
+        RefusedChoice::NoTarget => Refusal::retry_after(RefusalCause::NoTarget, NO_TARGET_WAIT_MS),
+        RefusedChoice::Full { wait_ms } => {
+            let wait_ms = wait_ms.clamp(FULL_WAIT_MS.0, FULL_WAIT_MS.1);
+            Refusal::retry_after(RefusalCause::TargetsFull, wait_ms)
+        }
+    })
+}
+
+async fn attempt(
+    worker: &Rc<Worker>,
+    call: &AdmittedCall,
+    placement: Placement,
+    attempts: &mut Attempts,
+) -> AttemptEnd {
+    let context = &worker.context;
+    let entry = placement.entry;
+    let shape = call.routed.shape();
+    let request =
+        context.loads().begin(placement.key, shape, placement.unread_tokens, context.now());
+    let outstanding = Outstanding { worker: Rc::clone(worker), entry, key: placement.key, request };
+    let reuse = if call.routed.route.kind.may_repeat() { Reuse::Allowed } else { Reuse::Never };
+    let mut connection = match worker.connection(&outstanding.entry, reuse).await {
+        Ok(connection) => connection,
+        Err(cause) => {
+            outstanding.end(Outcome::Unreachable);
+            return AttemptEnd::NotSent(cause.to_string());
+        }
+    };
+    let request = match write_request(worker, call, &outstanding.entry, attempts.last_event) {
+        Ok(request) => request,
+        Err(cause) => return AttemptEnd::NotSent(cause),
+    };
+    let was_possible = std::mem::replace(&mut attempts.may_have_run, true);
+    attempts.sent += 1;
+    let response = match connection.exchange(request).await {
+        Ok(response) => response,
+        Err(ExchangeError::NotSent { cause, .. }) => {
+            attempts.sent -= 1;
+            attempts.may_have_run = was_possible;
+            return AttemptEnd::NotSent(cause);
+        }
+        Err(cause @ ExchangeError::Sent { .. }) => {
+            outstanding.end(Outcome::Failed);
+            return AttemptEnd::Lost(cause.to_string());
+        }
+    };
+    let head = context.format.read_answer(response.status(), response.headers());
+    if let Some(load) = head.load {
+        context.loads().reported(placement.key, load, context.now());
+    }
+    let status = response.status();
+    if head.is_not_run {
+        attempts.may_have_run = was_possible;
+        if status == http::StatusCode::MISDIRECTED_REQUEST {
+            // Another target has the address now.
+            outstanding.end(Outcome::Unreachable);
+        }
+        return AttemptEnd::NotRun(status.as_u16());
+    }
+    if head.id.as_deref() != call.routed.received.head.id.as_deref() {
+        outstanding.end(Outcome::Failed);
+        return AttemptEnd::Lost(format!("answer is for request {:?}", head.id));
+    }
+    if status.is_success() && !head.is_signed {
+        outstanding.end(Outcome::Failed);
+        return AttemptEnd::Lost("answer is not signed".into());
+    }
+    AttemptEnd::Answer(Box::new(TargetAnswer { response, head, connection, outstanding }))
+}
+
+/// The request as the target gets it.
+fn write_request(
+    worker: &Worker,
+    call: &AdmittedCall,
+    entry: &TargetEntry,
+    last_event: Option<u64>,
+) -> Result<Request<Full<hyper::body::Bytes>>, String> {
+    let received = &call.routed.received;
+    let mut headers = HeaderMap::with_capacity(received.headers.len() + 4);
+    let named = named_by_connection(received);
+    for (name, value) in &received.headers {
+        let is_hop = HOP_HEADERS.contains(name) || named.iter().any(|other| other == name.as_str());
+        if is_hop || *name == http::header::CONTENT_LENGTH || *name == http::header::EXPECT {
+            continue;
+        }
+        let value = HeaderValue::from_bytes(value.as_bytes());
+        let value = value.map_err(|_| format!("header {name} has an invalid value"))?;
+        headers.append(name.clone(), value);
+    }
+    let now = worker.context.now();
+    let head = SendHead {
+        deadline_ms: call.routed.left_ms(now),
+        account: call.routed.account.as_deref(),
+        target: entry,
+        last_event: last_event.or(received.head.last_event),
+    };
+    worker.context.format.write_call(&mut headers, &head);
+    let mut request = Request::builder()
+        .method(received.method.clone())
+        .uri(received.target_uri.as_str())
+        .body(Full::new(call.body.clone()))
+        .map_err(|cause| cause.to_string())?;
+    if call.body.is_empty() && received.headers.contains_key(http::header::CONTENT_LENGTH) {
+        headers.insert(http::header::CONTENT_LENGTH, HeaderValue::from_static("0"));
+    }
+    *request.headers_mut() = headers;
+    Ok(request)
+}
+
+/// Headers that the caller's `Connection` header names.
+fn named_by_connection(received: &crate::call::ReceivedCall) -> Vec<String> {
+    let values = received.headers.get_all(http::header::CONNECTION);
+    values
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect()
+}
+
+/// Idle timeout that a target states in its answer.
+pub(crate) fn stated_keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.parse().ok().map(Duration::from_secs)
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,102 @@
+//! Settings of the gateway.
+
+use std::net::SocketAddr;
+
+use base::Name;
+use serde::{Deserialize, Serialize};
+
+/// Settings file of the gateway; unknown keys are refused.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewaySettings {
+    pub instance: Name,
+    pub failure_domain: Name,
+    pub listen: ListenSettings,
+    /// `peers` addresses of some routers; may be stale, down, or this router.
+    pub seeds: Vec<SocketAddr>,
+    /// Address of the configuration source.
+    pub source: SocketAddr,
+    #[serde(default)]
+    pub bounds: BoundSettings,
+    #[serde(default = "default_log")]
+    pub log: Name,
+}
+
+/// Addresses that the gateway listens on; ports are the same on all routers.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListenSettings {
+    pub callers: SocketAddr,
+    pub ready: SocketAddr,
+    /// Callers' questions which addresses to use.
+    pub addresses: SocketAddr,
+    /// Exchanges between routers, over HTTP.
+    pub peers: SocketAddr,
+    /// Beats between routers, as datagrams.
+    pub beats: SocketAddr,
+    /// Counters as text; none for no such address.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
+}
+
+/// Bounds that the fleet has to keep.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct BoundSettings {
+    /// Time from the signal to stop until the process is killed, in seconds.
+    pub stop_s: f64,
+    /// Repeats for each request of a service, in any window.
+    pub repeat_ratio: f64,
+    /// Repeats of a service beyond the ratio, over the fleet, in any window.
+    pub repeat_allowance: f64,
+    /// Length of the window, in seconds.
+    pub repeat_window_s: f64,
+    /// Window in which client accounts' shares are owed, in seconds.
+    pub share_window_s: f64,
+    /// Longest time for which an address answer may hold, in seconds.
+    pub longest_lease_s: f64,
+}
+
+impl Default for BoundSettings {
+    fn default() -> Self {
+        Self {
+            stop_s: 8.0,
+            repeat_ratio: 0.2,
+            repeat_allowance: 50.0,
+            repeat_window_s: 10.0,
+            share_window_s: 4.0,
+            longest_lease_s: 5.0,
+        }
+    }
+}
+
+fn default_log() -> Name {
+    "info,ntex_server=warn,ntex_service=warn,ntex=warn".into()
+}
+
+impl GatewaySettings {
+    /// Checks what the types do not say.
+    ///
+    /// # Errors
+    /// Names the first key whose value is out of range.
+    pub fn check(&self) -> anyhow::Result<()> {
+        anyhow::ensure!(!self.instance.is_empty(), "step=check_settings: instance is empty");
+        let bounds = &self.bounds;
+        let positive = [
+            ("bounds.stop_s", bounds.stop_s),
+            ("bounds.repeat_window_s", bounds.repeat_window_s),
+            ("bounds.share_window_s", bounds.share_window_s),
+            ("bounds.longest_lease_s", bounds.longest_lease_s),
+        ];
+        for (key, value) in positive {
+            anyhow::ensure!(value > 0.0, "step=check_settings: {key} is {value}, not positive");
+        }
+        for (key, value) in [
+            ("bounds.repeat_ratio", bounds.repeat_ratio),
+            ("bounds.repeat_allowance", bounds.repeat_allowance),
+        ] {
+            anyhow::ensure!(value >= 0.0, "step=check_settings: {key} is {value}, negative");
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/view.rs
@@ -0,0 +1,75 @@
+//! Brings what was read or heard of configuration and targets into force.
+
+use base::Millis;
+use route::VersionVerdict;
+use target::RecordChange;
+
+use crate::context::GatewayContext;
+use crate::facts::{ChangesAnswer, ChangesQuestion};
+use crate::port::SourceUpdate;
+
+/// Where an update comes from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum UpdateOrigin {
+    /// A whole listing of the source.
+    Listing,
+    /// Changes from the source.
+    Changes,
+    /// Changes from a peer.
+    Peer,
+}
+
+/// Applies an update; returns whether it moved the view on.
+pub(crate) fn apply(context: &GatewayContext, update: SourceUpdate, origin: UpdateOrigin) -> bool {
+    let now = context.now();
+    for (key, cause) in &update.unreadable {
+        tracing::warn!(unit = "view", event = "unreadable_item", key, cause);
+    }
+    if let Some(table) = update.table {
+        let version = table.version;
+        let capacity = table.capacity_tokens_per_s;
+        let verdict = context.versions().offer(table);
+        if matches!(verdict, VersionVerdict::Accepted { .. }) {
+            context.shares().set_capacity(capacity);
+            tracing::info!(unit = "view", event = "configuration", version, ?verdict, ?origin);
+        }
+    }
+    let changes = if origin == UpdateOrigin::Listing {
+        context.targets().merge_all(update.records, update.revision, now)
+    } else {
+        let mut targets = context.targets();
+        let merged = update.records.into_iter();
+        merged.map(|record| (record.id.clone(), targets.merge(record, now))).collect()
+    };
+    let mut has_changed = false;
+    for (target, change) in changes {
+        if change != RecordChange::Unchanged {
+            has_changed = true;
+            let revision = update.revision;
+            tracing::info!(unit = "view", event = "target", %target, ?change, revision, ?origin);
+        }
+    }
+    if has_changed {
+        let known: Vec<_> = context.targets().known().map(|entry| entry.id.clone()).collect();
+        context.loads().retain(|id| known.contains(id));
+    }
+    let mut source = context.source();
+    let has_moved = update.revision > source.revision;
+    source.revision = source.revision.max(update.revision);
+    has_moved
+}
+
+/// What this router knows beyond what a peer has.
+pub(crate) fn changes_for(context: &GatewayContext, question: ChangesQuestion) -> ChangesAnswer {
+    let now: Millis = context.now();
+    // The revision is taken first: what is newer than it may be left out.
+    let revision = context.source().revision;
+    let table = context.table().filter(|table| Some(table.version) > question.version);
+    let targets = context.targets();
+    ChangesAnswer {
+        revision,
+        table: table.map(|table| (*table).clone()),
+        records: targets.since(question.after),
+        source_back_age: targets.back_age(now),
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/lib.rs
@@ -0,0 +1,11 @@
+//! Routers that find each other from a few seed addresses, what they say in
+//! their beats, and which of them read the configuration source. Pure; no
+//! network.
+
+mod beat;
+mod members;
+mod reader;
+
+pub use beat::{Beat, BeatHead, PeerAddresses, SourceView};
+pub use members::{Heard, MemberSettings, MemberTable, MemberView};
+pub use reader::{ReaderPolicy, ReaderSettings, ReaderVerdict};
--- /dev/null
+++ b/crates/mesh/tests/membership.rs
@@ -0,0 +1,189 @@
+//! Routers find each other, lose each other and agree on who reads.
+
+use std::net::SocketAddr;
+
+use base::{Name, Origin};
+use mesh::{
+    BeatHead, Heard, MemberSettings, MemberTable, MemberView, PeerAddresses, ReaderPolicy,
+    ReaderSettings, ReaderVerdict, SourceView,
+};
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, index as u8 + 1], 7_400))
+}
+
+fn origin(index: usize, incarnation: u64) -> Origin {
+    Origin { instance: format!("router-{index}").into(), incarnation }
+}
+
+struct Fleet {
+    tables: Vec<Option<MemberTable>>,
+    now: u64,
+}
+
+impl Fleet {
+    /// Routers whose seeds are the first three and one stale address.
+    fn start(routers: usize) -> Self {
+        let seeds = [address(0), address(1), address(200)];
+        let tables = (0..routers)
+            .map(|index| {
+                let settings = MemberSettings::default();
+                Some(MemberTable::new(origin(index, 1), address(index), &seeds, settings))
+            })
+            .collect();
+        Self { tables, now: 0 }
+    }
+
+    fn head(table: &mut MemberTable, index: usize, incarnation: u64, now: u64) -> BeatHead {
+        let at = address(index);
+        BeatHead {
+            origin: origin(index, incarnation),
+            count: table.next_count(),
+            domain: format!("zone-{}", index % 3).into(),
+            addresses: PeerAddresses { beats: at, peers: at, callers: at },
+            is_draining: false,
+            source: SourceView::default(),
+            others: table.others(now),
+        }
+    }
+
+    /// One round of beats; links between `cut` pairs are down.
+    fn round(&mut self, cut: impl Fn(usize, usize) -> bool) {
+        self.now += 200;
+        for from in 0..self.tables.len() {
+            let Some(mut table) = self.tables[from].take() else { continue };
+            let head = Self::head(&mut table, from, 1, self.now);
+            let receivers = table.receivers(self.now);
+            self.tables[from] = Some(table);
+            for to in 0..self.tables.len() {
+                if to == from || cut(from, to) || !receivers.contains(&address(to)) {
+                    continue;
+                }
+                if let Some(table) = self.tables[to].as_mut() {
+                    table.hear(head.clone(), self.now);
+                }
+            }
+        }
+    }
+
+    fn live_at(&self, index: usize) -> usize {
+        self.tables[index].as_ref().map_or(0, |table| table.live(self.now).count())
+    }
+}
+
+#[test]
+fn everybody_finds_everybody_from_a_few_seeds() {
+    let mut fleet = Fleet::start(12);
+    for _ in 0..8 {
+        fleet.round(|_, _| false);
+    }
+    for index in 0..12 {
+        assert_eq!(fleet.live_at(index), 11, "router {index}");
+    }
+}
+
+#[test]
+fn a_seed_that_starts_late_is_still_asked() {
+    let mut fleet = Fleet::start(4);
+    let late = [fleet.tables[0].take(), fleet.tables[1].take()];
+    for _ in 0..300 {
+        fleet.round(|_, _| false);
+    }
+    let [first, second] = late;
+    fleet.tables[0] = first;
+    fleet.tables[1] = second;
+    for _ in 0..10 {
+        fleet.round(|_, _| false);
+    }
+    for index in 0..4 {
+        assert_eq!(fleet.live_at(index), 3, "router {index}");
+    }
+}
+
+#[test]
+fn a_partition_is_seen_and_heals() {
+    let mut fleet = Fleet::start(6);
+    for _ in 0..8 {
+        fleet.round(|_, _| false);
+    }
+    let cut = |from: usize, to: usize| (from < 2) != (to < 2);
+    for _ in 0..8 {
+        fleet.round(cut);
+    }
+    assert_eq!(fleet.live_at(0), 1);
+    assert_eq!(fleet.live_at(5), 3);
+    for _ in 0..8 {
+        fleet.round(|_, _| false);
+    }
+    assert_eq!(fleet.live_at(0), 5);
+    assert_eq!(fleet.live_at(5), 5);
+}
+
+#[test]
+fn a_late_beat_of_an_ended_life_is_ignored() {
+    let mut table =
+        MemberTable::new(origin(0, 1), address(0), &[address(1)], MemberSettings::default());
+    let mut other =
+        MemberTable::new(origin(1, 1), address(1), &[address(0)], MemberSettings::default());
+    let old = Fleet::head(&mut other, 1, 7, 0);
+    let late = Fleet::head(&mut other, 1, 7, 0);
+    let new = Fleet::head(&mut other, 1, 8, 0);
+    assert_eq!(table.hear(old, 0), Heard::Joined);
+    assert_eq!(table.hear(new, 10), Heard::Restarted);
+    assert_eq!(table.hear(late, 20), Heard::Ignored);
+}
+
+#[test]
+fn the_time_between_beats_grows_with_the_fleet() {
+    let settings = MemberSettings { beats_per_second: 30, ..MemberSettings::default() };
+    let mut table = MemberTable::new(origin(0, 1), address(0), &[], settings);
+    let mut other = MemberTable::new(origin(1, 1), address(1), &[], settings);
+    for index in 1..=150 {
+        table.hear(Fleet::head(&mut other, index, 1, 0), 0);
+    }
+    assert!(150 * 1_000 / table.period() <= 30);
+}
+
+fn reader(index: usize, read_age: Option<u64>) -> MemberView {
+    MemberView {
+        origin: origin(index, 1),
+        domain: "zone".into(),
+        addresses: PeerAddresses { beats: address(0), peers: address(0), callers: address(0) },
+        is_draining: false,
+        source: SourceView { revision: 1, read_age },
+        age: 100,
+    }
+}
+
+fn policy(index: usize) -> ReaderPolicy {
+    let name: Name = format!("router-{index}").into();
+    ReaderPolicy::new(name, "zone".into(), ReaderSettings::default())
+}
+
+#[test]
+fn of_several_readers_in_a_failure_domain_one_stays() {
+    let readers = (0..5).filter(|index| {
+        let peers: Vec<_> =
+            (0..5).filter(|at| at != index).map(|at| reader(at, Some(50))).collect();
+        policy(*index).decide(&peers, Some(50), false, 0) == ReaderVerdict::Read
+    });
+    assert_eq!(readers.count(), 1);
+}
+
+#[test]
+fn a_reader_that_hears_nothing_is_replaced_in_time() {
+    let mut follower = policy(0);
+    assert_eq!(follower.decide(&[reader(1, Some(50))], None, false, 0), ReaderVerdict::Follow);
+    let stale = [reader(1, Some(1_400))];
+    let taken_over = (0..400)
+        .step_by(20)
+        .find(|now| follower.decide(&stale, None, false, 1_000 + now) == ReaderVerdict::Read);
+    assert!(taken_over.is_some_and(|after| after <= 100), "{taken_over:?}");
+}
+
+#[test]
+fn a_router_alone_with_the_source_reads_for_itself() {
+    let mut policy = policy(0);
+    assert_eq!(policy.decide(&[], None, false, 0), ReaderVerdict::Read);
+    assert_eq!(policy.decide(&[], Some(9_000), false, 9_000), ReaderVerdict::Read);
+}
--- /dev/null
+++ b/crates/outbound/src/fetch.rs
@@ -0,0 +1,81 @@
+//! Whole exchanges with the platform and with peers, on one kept connection.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Bytes;
+use thiserror::Error;
+
+use crate::connection::{Connection, ExchangeError, connect};
+
+/// Why a fetch failed.
+#[derive(Debug, Error)]
+pub enum FetchError {
+    #[error(transparent)]
+    Exchange(#[from] ExchangeError),
+    #[error("step=build_request peer={peer}: {cause}")]
+    Request { peer: SocketAddr, cause: String },
+    #[error("step=read_body peer={peer}: {cause}")]
+    Body { peer: SocketAddr, cause: String },
+    #[error("step=fetch peer={peer}: no answer in {waited_ms} ms")]
+    Timeout { peer: SocketAddr, waited_ms: u128 },
+}
+
+/// Fetches whole bodies from one peer, one at a time.
+#[derive(Debug)]
+pub struct FetchClient {
+    peer: SocketAddr,
+    max_body_bytes: usize,
+    kept: Option<Connection>,
+}
+
+impl FetchClient {
+    /// A client of `peer` that takes bodies of up to `max_body_bytes`.
+    pub fn new(peer: SocketAddr, max_body_bytes: usize) -> Self {
+        Self { peer, max_body_bytes, kept: None }
+    }
+
+    /// One exchange, connection included, within `timeout`. A connection that
+    /// failed is not used again.
+    ///
+    /// # Errors
+    /// No whole answer in time.
+    pub async fn fetch(
+        &mut self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<(StatusCode, Bytes), FetchError> {
+        let peer = self.peer;
+        let kept = self.kept.take().filter(Connection::is_idle);
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(http::header::HOST, peer.to_string())
+            .body(Full::new(body))
+            .map_err(|cause| FetchError::Request { peer, cause: cause.to_string() })?;
+        let max_body_bytes = self.max_body_bytes;
+        let exchange = async {
+            let mut connection = match kept {
+                Some(connection) => connection,
+                None => connect(peer, timeout).await?,
+            };
+            let answer = connection.exchange(request).await?;
+            let status = answer.status();
+            let body = Limited::new(answer.into_body(), max_body_bytes).collect().await;
+            let body = body.map_err(|cause| FetchError::Body { peer, cause: cause.to_string() })?;
+            Ok((connection, status, body.to_bytes()))
+        };
+        match tokio::time::timeout(timeout, exchange).await {
+            Ok(Ok((connection, status, body))) => {
+                self.kept = Some(connection);
+                Ok((status, body))
+            }
+            Ok(Err(cause)) => Err(cause),
+            Err(_) => Err(FetchError::Timeout { peer, waited_ms: timeout.as_millis() }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/outbound/src/pool.rs
@@ -0,0 +1,94 @@
+//! Kept connections by peer.
+
+use std::collections::HashMap;
+use std::hash::Hash;
+use std::time::{Duration, Instant};
+
+use crate::connection::Connection;
+
+/// Bounds of kept connections.
+#[derive(Clone, Copy, Debug)]
+pub struct PoolSettings {
+    /// Time for which a connection without a stated timeout is kept; peers may
+    /// close after less than a second without saying so.
+    pub unstated: Duration,
+    /// Taken off a stated timeout: what a request needs to arrive.
+    pub margin: Duration,
+    /// Longest time that a connection is kept, whatever is stated.
+    pub longest: Duration,
+    /// Connections kept for one peer.
+    pub each: usize,
+}
+
+impl Default for PoolSettings {
+    fn default() -> Self {
+        Self {
+            unstated: Duration::from_millis(300),
+            margin: Duration::from_millis(500),
+            longest: Duration::from_secs(5),
+            each: 32,
+        }
+    }
+}
+
+/// What tells the peers of a pool apart.
+pub trait PoolKey: Clone + Eq + Hash {}
+impl<K: Clone + Eq + Hash> PoolKey for K {}
+
+#[derive(Debug)]
+struct KeptConnection {
+    connection: Connection,
+    until: Instant,
+}
+
+/// Kept connections; the newest is used first.
+#[derive(Debug)]
+pub struct ConnectionPool<K: PoolKey> {
+    settings: PoolSettings,
+    kept: HashMap<K, Vec<KeptConnection>>,
+}
+
+impl<K: PoolKey> ConnectionPool<K> {
+    pub fn new(settings: PoolSettings) -> Self {
+        Self { settings, kept: HashMap::new() }
+    }
+
+    /// A kept connection that is idle and not too old.
+    pub fn take(&mut self, key: &K) -> Option<Connection> {
+        let kept = self.kept.get_mut(key)?;
+        let now = Instant::now();
+        while let Some(newest) = kept.pop() {
+            if newest.until > now && newest.connection.is_idle() {
+                return Some(newest.connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose answer was read to its end.
+    ///
+    /// `stated` is the idle timeout that the peer stated, if any.
+    pub fn keep(&mut self, key: K, connection: Connection, stated: Option<Duration>) {
+        let settings = self.settings;
+        let usable = stated.map_or(settings.unstated, |time| time.saturating_sub(settings.margin));
+        let until = Instant::now() + usable.min(settings.longest);
+        let kept = self.kept.entry(key).or_default();
+        if kept.len() < settings.each {
+            kept.push(KeptConnection { connection, until });
+        }
+    }
+
+    /// Closes what is too old, and everything of peers that are gone.
+    pub fn sweep(&mut self, is_known: impl Fn(&K) -> bool) {
+        let now = Instant::now();
+        self.kept.retain(|key, kept| {
+            kept.retain(|kept| kept.until > now);
+            !kept.is_empty() && is_known(key)
+        });
+    }
+
+    /// Connections kept for a peer.
+    pub fn count(&self, key: &K) -> usize {
+        self.kept.get(key).map_or(0, Vec::len)
+    }
+}
--- /dev/null
+++ b/crates/route/tests/selection.rs
@@ -0,0 +1,73 @@
+//! Which route a request selects, and which configuration is in force.
+
+use route::{CallKind, CallerLimits, RouteSpec, RouteTable, RouteTableBuilder, SplitPart};
+use route::{VersionGate, VersionVerdict};
+
+const LIMITS: CallerLimits = CallerLimits {
+    head_bytes: 16_384,
+    body_bytes: 1 << 20,
+    head_timeout_ms: 3_000,
+    idle_timeout_ms: 15_000,
+};
+
+fn spec(name: &str, prefix: &str, split: &[(&str, u32)]) -> RouteSpec {
+    RouteSpec {
+        name: name.into(),
+        host: "a.example".into(),
+        path_prefix: prefix.into(),
+        kind: CallKind::Idempotent,
+        timeout_ms: 1_000,
+        target_latency_ms: 100,
+        max_attempts: 1,
+        public: false,
+        has_prompt: false,
+        split: split
+            .iter()
+            .map(|(service, weight)| SplitPart { service: (*service).into(), weight: *weight })
+            .collect(),
+    }
+}
+
+fn table(version: u64) -> RouteTable {
+    RouteTableBuilder::new(version, LIMITS)
+        .route(spec("short", "/a/", &[("one", 1)]))
+        .route(spec("long", "/a/b/", &[("one", 90), ("two", 10)]))
+        .credential("key-1".into(), "north".into())
+        .credential("key-2".into(), "north".into())
+        .build()
+}
+
+#[test]
+fn the_longest_prefix_wins_and_prefixes_end_at_slashes() {
+    let table = table(1);
+    let name = |path: &str| table.route("a.example:8080", path).map(|route| &*route.name);
+    assert_eq!(name("/a/b/c"), Some("long"));
+    assert_eq!(name("/a/bc"), Some("short"));
+    assert_eq!(name("/a"), None);
+    assert!(table.route("b.example", "/a/").is_none());
+}
+
+#[test]
+fn a_split_gives_each_service_its_part() {
+    let table = table(1);
+    let route = table.route("a.example", "/a/b/").unwrap();
+    let two = (0..1_000).filter(|draw| route.service(*draw).is_some_and(|s| &**s == "two"));
+    assert_eq!(two.count(), 100);
+}
+
+#[test]
+fn an_account_has_several_credentials() {
+    let table = table(1);
+    assert_eq!(table.account("key-1"), table.account("key-2"));
+    assert_eq!(table.account("key-3"), None);
+}
+
+#[test]
+fn an_older_configuration_never_replaces_a_newer_one() {
+    let mut gate = VersionGate::default();
+    assert_eq!(gate.offer(table(7)), VersionVerdict::Accepted { replaced: None });
+    assert_eq!(gate.offer(table(5)), VersionVerdict::Stale { in_force: 7 });
+    assert_eq!(gate.offer(table(7)), VersionVerdict::Stale { in_force: 7 });
+    assert_eq!(gate.offer(table(12)), VersionVerdict::Accepted { replaced: Some(7) });
+    assert_eq!(gate.version(), Some(12));
+}
