perf: keep requests at the homes of their prompt parts

Ruled out: memory of the engines (no request was preempted, parts fit). Change: the first home that is expected to answer within the time aimed for is taken; the log line of a request names rank, expectation and unread tokens.

--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -8,7 +8,7 @@
 use crate::call::RoutedCall;
 use crate::context::{GatewayContext, OpenCall};
 use crate::refusal::Refusal;
-use crate::send::Attempts;
+use crate::send::{Attempts, ChoiceInputs};
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -36,6 +36,7 @@
     target: Option<Name>,
     status: Option<u16>,
     sent: u32,
+    choice: Option<ChoiceInputs>,
     is_within_share: Option<bool>,
     is_ended: bool,
     _open: OpenCall,
@@ -54,6 +55,7 @@
             target: None,
             status: None,
             sent: 0,
+            choice: None,
             is_within_share: None,
             is_ended: false,
             _open: OpenCall::new(context),
@@ -73,6 +75,7 @@
     pub(crate) fn sent(&mut self, attempts: &Attempts) {
         self.sent = attempts.sent;
         self.target = attempts.tried.last().cloned();
+        self.choice = attempts.choice;
     }
 
     /// The first bytes of the answer came.
@@ -117,6 +120,9 @@
             account = self.account.as_deref(),
             target = self.target.as_deref(),
             sent = self.sent,
+            expected_ms = self.choice.map(|choice| choice.expected_ms),
+            unread_tokens = self.choice.map(|choice| choice.unread_tokens),
+            home_rank = self.choice.and_then(|choice| choice.home_rank),
             within_share = self.is_within_share,
             retry_after_ms,
             first_ms,
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -10,10 +10,13 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use outbound::{Connection, ExchangeError};
-use target::{Outcome, OutstandingKey, Placement, RefusedChoice, TargetEntry, TargetKey, choose};
+use target::{
+    ChoiceQuestion, Outcome, OutstandingKey, Placement, RefusedChoice, TargetEntry, TargetKey,
+    choose,
+};
 
 use crate::call::AdmittedCall;
-use crate::port::{AnswerHead, SendHead};
+use crate::port::SendHead;
 use crate::refusal::{Refusal, RefusalCause};
 use crate::worker::{Reuse, Worker};
 
@@ -85,7 +88,6 @@
 #[derive(Debug)]
 pub(crate) struct TargetAnswer {
     pub(crate) response: Response<Incoming>,
-    pub(crate) head: AnswerHead,
     pub(crate) connection: Connection,
     pub(crate) outstanding: Outstanding,
 }
@@ -102,6 +104,17 @@
     pub(crate) may_have_run: bool,
     /// Events of a resumed stream that the caller has.
     pub(crate) last_event: Option<u64>,
+    /// What the last choice of a target went by.
+    pub(crate) choice: Option<ChoiceInputs>,
+}
+
+/// What decided on a target.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ChoiceInputs {
+    /// Expected time to the first byte, in milliseconds.
+    pub(crate) expected_ms: u64,
+    pub(crate) unread_tokens: u32,
+    pub(crate) home_rank: Option<usize>,
 }
 
 /// How one attempt ended.
@@ -131,6 +144,11 @@
         let placement = place(worker, call, &attempts.tried)?;
         let entry = placement.entry.clone();
         attempts.tried.push(Name::clone(&entry.id));
+        attempts.choice = Some(ChoiceInputs {
+            expected_ms: placement.expected_ms as u64,
+            unread_tokens: placement.unread_tokens,
+            home_rank: placement.home_rank,
+        });
         let end = attempt(worker, call, placement, attempts).await;
         let (cause, refusal) = match end {
             AttemptEnd::Answer(answer) => {
@@ -197,16 +215,15 @@
     let routed = &call.routed;
     let candidates: Vec<TargetEntry> =
         context.targets().serving(&routed.service, now).cloned().collect();
-    let choice = choose(
-        &mut context.loads(),
-        candidates.iter(),
-        routed.shape(),
-        routed.engine_memory(),
+    let question = ChoiceQuestion {
+        shape: routed.shape(),
+        aim_ms: routed.route.target_latency_ms,
+        engine_memory: routed.engine_memory(),
         tried,
-        &context.settings.failure_domain,
-        &context.choice,
-        now,
-    );
+        near: &context.settings.failure_domain,
+    };
+    let loads = &mut context.loads();
+    let choice = choose(loads, candidates.iter(), &question, &context.settings.choice, now);
     choice.map_err(|refused| match refused {
         RefusedChoice::NoTarget => Refusal::retry_after(RefusalCause::NoTarget, NO_TARGET_WAIT_MS),
         RefusedChoice::Full { wait_ms } => {
@@ -275,7 +292,7 @@
         outstanding.end(Outcome::Failed);
         return AttemptEnd::Lost("answer is not signed".into());
     }
-    AttemptEnd::Answer(Box::new(TargetAnswer { response, head, connection, outstanding }))
+    AttemptEnd::Answer(Box::new(TargetAnswer { response, connection, outstanding }))
 }
 
 /// The request as the target gets it.
--- a/crates/target/src/choice.rs
+++ b/crates/target/src/choice.rs
@@ -2,14 +2,16 @@
 //!
 //! Load pattern: requests share long prompt parts, many more parts than one
 //! engine can keep, and every router chooses by late knowledge. Each part has
-//! home targets by rendezvous hashing, so routers agree without asking; a
-//! request leaves its home when reading the part anew elsewhere is expected to
-//! take less time than waiting there.
+//! home targets in an order given by rendezvous hashing, so routers agree
+//! without asking. A request goes to the first home that is expected to answer
+//! in time: reading a part anew at another target takes work from everybody, so
+//! it is not enough that another one would be a little faster.
 
 use base::{Millis, Name, stable_hash};
+use serde::{Deserialize, Serialize};
 
 use crate::entry::TargetEntry;
-use crate::load::{LoadBook, TargetKey};
+use crate::load::{LoadBook, TargetKey, TargetLoad};
 
 /// One part of a prompt, in order.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -49,7 +51,8 @@
 }
 
 /// Bounds of the choice.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct ChoiceSettings {
     /// Time to the first event beyond reading, in milliseconds: connection,
     /// scheduling and the first token.
@@ -59,9 +62,10 @@
     pub memory_share: f64,
     /// Share of an engine's slots that may be taken: reports are late.
     pub slot_share: f64,
-    /// Shared tokens below which requests are placed by load alone.
-    pub least_home_tokens: u32,
-    /// Probability that the first, second and further homes keep a shared part.
+    /// Share of the time that callers aim for up to which a request stays at a
+    /// home: expectations are off by about a half.
+    pub home_until: f64,
+    /// Probability that the first and second home keep a shared part.
     pub kept_at: [f64; 2],
     /// Cost of crossing failure domains, in milliseconds.
     pub crossing_ms: f64,
@@ -73,13 +77,27 @@
             overhead_ms: 60.0,
             memory_share: 0.8,
             slot_share: 1.0,
-            least_home_tokens: 1_000,
-            kept_at: [0.9, 0.4],
+            home_until: 1.0,
+            kept_at: [0.95, 0.4],
             crossing_ms: 3.0,
         }
     }
 }
 
+/// A request to place, with what its service and route say.
+#[derive(Clone, Copy, Debug)]
+pub struct ChoiceQuestion<'a> {
+    pub shape: &'a CallShape,
+    /// Time to the first event that callers aim for, in milliseconds.
+    pub aim_ms: u64,
+    /// An engine's memory in tokens; none for a plain service.
+    pub engine_memory: Option<u64>,
+    /// Targets that this request was sent to before.
+    pub tried: &'a [Name],
+    /// Failure domain of this router.
+    pub near: &'a str,
+}
+
 /// Where a request goes.
 #[derive(Clone, Debug)]
 pub struct Placement {
@@ -89,6 +107,8 @@
     pub unread_tokens: u32,
     /// Expected time to the first byte of the answer, in milliseconds.
     pub expected_ms: f64,
+    /// Place in the order of the request's homes, from 0; none without a home.
+    pub home_rank: Option<usize>,
 }
 
 /// Why a request goes nowhere.
@@ -102,78 +122,103 @@
 
 /// Chooses a target for a request of a service.
 ///
-/// `engine_memory` is an engine's memory in tokens; none for a plain service.
-/// `tried` are targets that this request was sent to before.
-///
 /// # Errors
 /// No target can take the request now.
 pub fn choose<'a>(
     book: &mut LoadBook,
     candidates: impl Iterator<Item = &'a TargetEntry>,
-    shape: &CallShape,
-    engine_memory: Option<u64>,
-    tried: &[Name],
-    near: &str,
+    question: &ChoiceQuestion<'_>,
     settings: &ChoiceSettings,
     now: Millis,
 ) -> Result<Placement, RefusedChoice> {
-    let mut usable: Vec<(TargetKey, &TargetEntry)> = Vec::new();
-    let mut set_aside: Vec<(TargetKey, &TargetEntry)> = Vec::new();
-    for entry in candidates.filter(|entry| !tried.contains(&entry.id)) {
-        let key = book.key(entry);
-        let Some(load) = book.get(key) else { continue };
-        let admitted = load.health.admits(&book.health, now);
-        if admitted { usable.push((key, entry)) } else { set_aside.push((key, entry)) }
-    }
-    if usable.is_empty() {
-        // With every target set aside the fault is more likely elsewhere.
-        usable = set_aside;
-    }
+    let mut usable = usable_targets(book, candidates, question, now);
     if usable.is_empty() {
         return Err(RefusedChoice::NoTarget);
     }
-    rank_by_home(&mut usable, shape, settings);
+    let home_part = question.shape.home_part();
+    if let Some(part) = home_part {
+        rank_by_home(&mut usable, part);
+    }
+    let home_until_ms = question.aim_ms as f64 * settings.home_until;
     let mut best: Option<Placement> = None;
     let mut least_wait_ms = f64::MAX;
     for (rank, (key, entry)) in usable.iter().enumerate() {
         let Some(load) = book.get(*key) else { continue };
-        let total = load.total(now);
-        let kept = settings.kept_at.get(rank).copied().unwrap_or(0.0);
-        let has_home = shape.shared_tokens() >= settings.least_home_tokens;
-        let kept_tokens = if has_home { kept * f64::from(shape.shared_tokens()) } else { 0.0 };
-        let unread_tokens = (f64::from(shape.prompt_tokens) - kept_tokens).max(0.0);
-        let reading_ms = (total.unread_tokens as f64 + unread_tokens) * load.read_ms();
-        let requests = load.requests(now);
-        let crossing_ms = if &*entry.failure_domain == near { 0.0 } else { settings.crossing_ms };
-        let occupancy = f64::from(requests) / f64::from(entry.slots.max(1));
-        let memory = total.memory_tokens + u64::from(shape.memory_tokens());
-        let room = engine_memory.map(|tokens| tokens as f64 * settings.memory_share);
-        let is_full = f64::from(requests) >= f64::from(entry.slots) * settings.slot_share
-            || room.is_some_and(|room| memory as f64 > room && total.requests > 0);
-        if is_full {
-            least_wait_ms = least_wait_ms.min(reading_ms + settings.overhead_ms);
+        let home_rank = home_part.map(|_| rank);
+        let expectation = expect(load, entry, question, home_rank, settings, now);
+        if expectation.is_full {
+            least_wait_ms = least_wait_ms.min(expectation.ms);
             continue;
         }
-        let expected_ms = settings.overhead_ms * (1.0 + occupancy) + reading_ms + crossing_ms;
-        if best.as_ref().is_none_or(|best| expected_ms < best.expected_ms) {
-            let unread_tokens = unread_tokens as u32;
-            best =
-                Some(Placement { key: *key, entry: (*entry).clone(), unread_tokens, expected_ms });
+        if best.as_ref().is_none_or(|best| expectation.ms < best.expected_ms) {
+            best = Some(Placement {
+                key: *key,
+                entry: (*entry).clone(),
+                unread_tokens: expectation.unread_tokens as u32,
+                expected_ms: expectation.ms,
+                home_rank,
+            });
+        }
+        if home_rank.is_some() && expectation.ms <= home_until_ms {
+            break;
         }
     }
     best.ok_or(RefusedChoice::Full { wait_ms: least_wait_ms.min(1e6) as Millis })
 }
 
-/// Orders targets by rendezvous hashing of the request's longest shared part.
-fn rank_by_home(
-    usable: &mut [(TargetKey, &TargetEntry)],
-    shape: &CallShape,
-    settings: &ChoiceSettings,
-) {
-    if shape.shared_tokens() < settings.least_home_tokens {
-        return;
+/// Targets that may get the request; those that were set aside only when there
+/// are no others, since then the fault is more likely elsewhere.
+fn usable_targets<'a>(
+    book: &mut LoadBook,
+    candidates: impl Iterator<Item = &'a TargetEntry>,
+    question: &ChoiceQuestion<'_>,
+    now: Millis,
+) -> Vec<(TargetKey, &'a TargetEntry)> {
+    let mut usable = Vec::new();
+    let mut set_aside = Vec::new();
+    for entry in candidates.filter(|entry| !question.tried.contains(&entry.id)) {
+        let key = book.key(entry);
+        let Some(load) = book.get(key) else { continue };
+        let admitted = load.health.admits(&book.health, now);
+        if admitted { usable.push((key, entry)) } else { set_aside.push((key, entry)) }
     }
-    let Some(part) = shape.home_part() else { return };
+    if usable.is_empty() { set_aside } else { usable }
+}
+
+struct Expectation {
+    ms: f64,
+    unread_tokens: f64,
+    is_full: bool,
+}
+
+fn expect(
+    load: &TargetLoad,
+    entry: &TargetEntry,
+    question: &ChoiceQuestion<'_>,
+    home_rank: Option<usize>,
+    settings: &ChoiceSettings,
+    now: Millis,
+) -> Expectation {
+    let shape = question.shape;
+    let total = load.total(now);
+    let kept = home_rank.and_then(|rank| settings.kept_at.get(rank)).copied().unwrap_or(0.0);
+    let kept_tokens = kept * f64::from(shape.shared_tokens());
+    let unread_tokens = (f64::from(shape.prompt_tokens) - kept_tokens).max(0.0);
+    let reading_ms = (total.unread_tokens as f64 + unread_tokens) * load.read_ms();
+    let requests = load.requests(now);
+    let is_near = &*entry.failure_domain == question.near;
+    let crossing_ms = if is_near { 0.0 } else { settings.crossing_ms };
+    let occupancy = f64::from(requests) / f64::from(entry.slots.max(1));
+    let memory = total.memory_tokens + u64::from(shape.memory_tokens());
+    let room = question.engine_memory.map(|tokens| tokens as f64 * settings.memory_share);
+    let is_full = f64::from(requests) >= f64::from(entry.slots) * settings.slot_share
+        || room.is_some_and(|room| memory as f64 > room && total.requests > 0);
+    let ms = settings.overhead_ms * (1.0 + occupancy) + reading_ms + crossing_ms;
+    Expectation { ms, unread_tokens, is_full }
+}
+
+/// Orders targets by rendezvous hashing of the request's longest shared part.
+fn rank_by_home(usable: &mut [(TargetKey, &TargetEntry)], part: u64) {
     let part = format!("{part:x}");
     usable.sort_by_cached_key(|(_, entry)| std::cmp::Reverse(stable_hash(&[&part, &entry.id])));
 }
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -7,7 +7,9 @@
 mod load;
 mod registry;
 
-pub use choice::{CallShape, ChoiceSettings, Placement, PromptPart, RefusedChoice, choose};
+pub use choice::{
+    CallShape, ChoiceQuestion, ChoiceSettings, Placement, PromptPart, RefusedChoice, choose,
+};
 pub use entry::{TargetEntry, TargetState};
 pub use health::{HealthSettings, Outcome, TargetHealth};
 pub use load::{LoadBook, LoadReport, OutstandingKey, PeerLoad, TargetKey, TargetLoad};
