--- a/crates/admit/src/window.rs
+++ b/crates/admit/src/window.rs
@@ -46,9 +46,10 @@
 
     /// What was added in a second, on average.
     pub fn per_second(&mut self, now: Millis) -> f64 {
-        let window_ms = self.part_ms * PARTS as u64;
-        // A process that just started has not filled its window yet.
-        let filled_ms = window_ms.min(now.max(self.part_ms));
+        // The newest part is filled up to now; a process that just started has
+        // not filled the others.
+        let covered_ms = self.part_ms * (PARTS as u64 - 1) + now % self.part_ms;
+        let filled_ms = covered_ms.min(now.max(self.part_ms));
         self.sum(now) * 1_000.0 / filled_ms as f64
     }
 }
--- a/crates/bench/tests/processes/bad_input.rs
+++ b/crates/bench/tests/processes/bad_input.rs
@@ -44,6 +44,29 @@
     assert_eq!(result.end, CallEnd::Answered);
 }
 
+#[test]
+fn a_refusal_arrives_although_the_body_comes_late() {
+    with_fleet(1, |fleet, _caller| async move {
+        let path = format!("/v1/call/{MODEL}/generate");
+        for number in 0..20 {
+            let bytes = request(&path, "authorization: Bearer no\r\n", &"a".repeat(40_000));
+            let head = bytes.find("\r\n\r\n").unwrap_or(0) + 4;
+            let mut stream = TcpStream::connect(fleet.routers[0].address)?;
+            stream.set_read_timeout(Some(Duration::from_secs(20)))?;
+            stream.write_all(&bytes.as_bytes()[..head])?;
+            std::thread::sleep(Duration::from_millis(10));
+            // A reset connection fails here or below.
+            let sent = stream.write_all(&bytes.as_bytes()[head..]);
+            std::thread::sleep(Duration::from_millis(10));
+            let mut answer = [0; 4_096];
+            let read = stream.read(&mut answer);
+            let answer = String::from_utf8_lossy(&answer[..*read.as_ref().unwrap_or(&0)]);
+            assert!(answer.contains(" 401 "), "try {number}: {sent:?} {read:?} {answer}");
+        }
+        Ok(())
+    });
+}
+
 #[test]
 fn callers_input_is_refused_with_stable_codes() {
     with_fleet(1, |fleet, caller| async move {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -1,6 +1,7 @@
 //! The one context that is passed down: settings, clock, and the state of each
 //! area behind a lock of its own.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -46,9 +47,16 @@
     /// Cancelled when the process ends.
     pub(crate) stop: CancellationToken,
     is_draining: AtomicBool,
+    /// Callers had time to go elsewhere; new requests are refused.
+    is_closed: AtomicBool,
     open_calls: AtomicUsize,
 }
 
+/// Ports are the same on all routers, so the port for beats is the own one.
+fn beat_addresses(seeds: &[SocketAddr], port: u16) -> Vec<SocketAddr> {
+    seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port)).collect()
+}
+
 /// Whole milliseconds of a time in seconds.
 pub(crate) fn millis(seconds: f64) -> Millis {
     (seconds * 1_000.0) as Millis
@@ -79,11 +87,7 @@
             ..RepeatSettings::default()
         };
         let beats = settings.listen.beats;
-        let seeds: Vec<_> = settings
-            .seeds
-            .iter()
-            .map(|seed| std::net::SocketAddr::new(seed.ip(), beats.port()))
-            .collect();
+        let seeds = beat_addresses(&settings.seeds, beats.port());
         let members = MemberTable::new(origin.clone(), beats, &seeds, MemberSettings::default());
         Arc::new(Self {
             settings,
@@ -101,10 +105,16 @@
             beat_now: Notify::new(),
             stop: CancellationToken::new(),
             is_draining: AtomicBool::new(false),
+            is_closed: AtomicBool::new(false),
             open_calls: AtomicUsize::new(0),
         })
     }
 
+    /// Where the routers with these `peers` addresses take beats.
+    pub(crate) fn beat_addresses(&self, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
+        beat_addresses(seeds, self.settings.listen.beats.port())
+    }
+
     pub(crate) fn now(&self) -> Millis {
         self.clock.now()
     }
@@ -151,6 +161,14 @@
         self.is_draining.load(Ordering::Relaxed)
     }
 
+    pub(crate) fn close(&self) {
+        self.is_closed.store(true, Ordering::Relaxed);
+    }
+
+    pub(crate) fn is_closed(&self) -> bool {
+        self.is_closed.load(Ordering::Relaxed)
+    }
+
     pub(crate) fn open_calls(&self) -> usize {
         self.open_calls.load(Ordering::Relaxed)
     }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -37,6 +37,8 @@
         }
         if verdict == ReaderVerdict::Follow {
             context.source().read_at = None;
+            context.targets().source_followed();
+            failures = 0;
             tokio::time::sleep(LOOK_PERIOD).await;
             continue;
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod port;
 mod refusal;
 mod relay;
+mod reload;
 mod report;
 mod run;
 mod send;
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use http::header::CONTENT_LENGTH;
-use ntex::http::{ConnectionType, HeaderMap, Request, Response};
+use ntex::http::{ConnectionType, HeaderMap, Payload, Request, Response};
 use ntex::io::IoRef;
 use ntex::util::Bytes;
 use tokio::time::Instant;
@@ -23,6 +23,14 @@
 /// it no failure can be turned into a repeat.
 const MAX_WHOLE_BYTES: usize = 8 << 20;
 
+/// Time after which a caller of a stopping router may try another one, in
+/// milliseconds: a new connection takes about as long.
+const ELSEWHERE_WAIT_MS: u64 = 10;
+/// Bounds of a body that is read only to be dropped: closing a connection with
+/// unread bytes resets it, and the refusal could be lost.
+const DROPPED_BODY_BYTES: usize = 4 << 20;
+const DROPPED_BODY_TIME: Duration = Duration::from_millis(500);
+
 /// An answer that is ready to be passed on.
 enum ReadyAnswer {
     Whole(Response<RelayBody>),
@@ -41,12 +49,21 @@
         let id = id.as_deref().map(|id| (context.format.id_header(), id));
         refusal.into_response(id, context.is_draining())
     };
+    let mut payload = request.take_payload();
+    if context.is_closed() {
+        drop_body(&mut payload).await;
+        let refusal = Refusal::retry_after(RefusalCause::Draining, ELSEWHERE_WAIT_MS);
+        return refuse(&mut report, refusal);
+    }
     let routed = match received.route(context) {
         Ok(routed) => routed,
-        Err((_, refusal)) => return refuse(&mut report, refusal),
+        Err((_, refusal)) => {
+            drop_body(&mut payload).await;
+            return refuse(&mut report, refusal);
+        }
     };
     report.routed(&routed);
-    let body = match routed.read_body(request.take_payload()).await {
+    let body = match routed.read_body(payload).await {
         Ok(body) => body,
         Err(refusal) => return refuse(&mut report, refusal),
     };
@@ -95,6 +112,20 @@
     response
 }
 
+async fn drop_body(payload: &mut Payload) {
+    let reading = async {
+        let mut dropped = 0;
+        while let Some(Ok(chunk)) = payload.recv().await {
+            dropped += chunk.len();
+            if dropped > DROPPED_BODY_BYTES {
+                return;
+            }
+        }
+    };
+    // A body that comes slower than this is not worth waiting for.
+    let _ = tokio::time::timeout(DROPPED_BODY_TIME, reading).await;
+}
+
 /// Sends until a whole answer, or the beginning of a stream, is there.
 async fn answer(
     worker: &Rc<Worker>,
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -10,6 +10,8 @@
 pub(crate) enum RefusalCause {
     /// No configuration is known yet.
     NoConfiguration,
+    /// The router stops.
+    Draining,
     NoRoute,
     BadCredential,
     BadRequest,
@@ -59,6 +61,7 @@
             Cause::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Cause::OverShare => StatusCode::TOO_MANY_REQUESTS,
             Cause::NoConfiguration
+            | Cause::Draining
             | Cause::TargetsFull
             | Cause::NoTarget
             | Cause::NotRun
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -203,7 +203,14 @@
             match relay.next().await {
                 Ok(Some(bytes)) => Some((Ok(bytes), Some(relay))),
                 Ok(None) => None,
-                Err(cause) => Some((Err(cause), None)),
+                Err(cause) => {
+                    // The library would write an answer of its own into the
+                    // broken one; the connection is closed instead.
+                    let Some(io) = relay.io.take() else { return Some((Err(cause), None)) };
+                    drop(relay);
+                    io.close();
+                    std::future::pending().await
+                }
             }
         });
         RelayBody::Stream { size, chunks: Box::pin(chunks) }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,6 +1,7 @@
 //! Start, drain and end of the gateway.
 
 use std::io;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -17,6 +18,7 @@
 use crate::follow::run_follow;
 use crate::port::{CallFormat, StateSource};
 use crate::relay::RelayBody;
+use crate::reload::start_reload;
 use crate::settings::GatewaySettings;
 use crate::worker::Worker;
 use crate::{pipeline, serve};
@@ -38,23 +40,26 @@
 /// Time between two sweeps of kept connections.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 
-/// Runs a gateway until it is told to stop.
+/// Runs a gateway until it is told to stop; `file` is where its settings were
+/// read from.
 ///
 /// # Errors
 /// An address is taken.
 pub fn run<S: StateSource + 'static>(
     settings: GatewaySettings,
+    file: PathBuf,
     format: Arc<dyn CallFormat>,
     source: S,
 ) -> anyhow::Result<()> {
     settings.check()?;
     let _guard = base::init_stdout_logs(&settings.log);
     let system = ntex::rt::System::new("gateway", ntex::rt::DefaultRuntime);
-    system.block_on(serve_all(settings, format, source))
+    system.block_on(serve_all(settings, file, format, source))
 }
 
 async fn serve_all<S: StateSource + 'static>(
     settings: GatewaySettings,
+    file: PathBuf,
     format: Arc<dyn CallFormat>,
     source: S,
 ) -> anyhow::Result<()> {
@@ -70,6 +75,7 @@
     );
     start_beats(&context).await?;
     let server = listen(&context, &text)?;
+    start_reload(&context, file)?;
     ntex::rt::spawn(run_follow(Arc::clone(&context), source));
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
@@ -94,8 +100,11 @@
     let deadline = Duration::from_millis(stop_ms.saturating_sub(DRAIN_MARGIN_MS));
     let notice = Duration::from_secs_f64(serve::LEASE_S * LEASES_KEPT);
     while start.elapsed() < deadline {
-        if start.elapsed() >= notice && context.open_calls() == 0 {
-            break;
+        if start.elapsed() >= notice {
+            context.close();
+            if context.open_calls() == 0 {
+                break;
+            }
         }
         tokio::time::sleep(DRAIN_LOOK).await;
     }
--- a/crates/router/src/caller.rs
+++ b/crates/router/src/caller.rs
@@ -99,6 +99,9 @@
     payload: Payload,
     id: &str,
 ) -> Result<HttpResponse, Refusal> {
+    // Closing a connection with unread bytes resets it, and a refusal could be
+    // lost; so the body is read first.
+    let body = read_body(payload, id).await?;
     let account = authenticate(context, http, id)?;
     let not_found = || Refusal::not_run(RefusalCode::UnknownService, id);
     let rest = http.path().strip_prefix(CALL_PREFIX).ok_or_else(not_found)?;
@@ -113,7 +116,6 @@
         (spec.kind, spec.is_once(http.method().as_str(), &path))
     };
     let open = OpenRequest::new(context);
-    let body = read_body(payload, id).await?;
     let request = Request::new(id.to_owned(), account, service.into());
     context.metrics.incr("requests").ok();
     if kind == ServiceKind::Model {
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -92,7 +92,9 @@
     json(&*replica.stats())
 }
 
-async fn drop_answers(replica: State<Arc<PlainReplica>>) -> HttpResponse {
+/// The body is read, since closing a connection with unread bytes resets it and
+/// may take the answer away.
+async fn drop_answers(replica: State<Arc<PlainReplica>>, _body: Bytes) -> HttpResponse {
     replica.stats().drop_answers = true;
     HttpResponse::NoContent().finish()
 }
--- a/crates/target/src/registry.rs
+++ b/crates/target/src/registry.rs
@@ -92,6 +92,12 @@
         was_away
     }
 
+    /// A peer reads the source: that this router lost it says nothing of the
+    /// source.
+    pub fn source_followed(&mut self) {
+        self.source_away = false;
+    }
+
     /// Milliseconds since the source came back after it had been away; none
     /// when that no longer matters.
     pub fn back_age(&self, now: Millis) -> Option<Millis> {
