--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -79,27 +79,27 @@
     ///
     /// # Errors
     /// There is no configuration, no route, or no account with the credential.
-    pub(crate) fn route(self, context: &GatewayContext) -> Result<RoutedCall, (Self, Refusal)> {
-        let refuse = |call: Self, cause| Err((call, Refusal::new(cause)));
+    pub(crate) fn route(self, context: &GatewayContext) -> Result<RoutedCall, Refusal> {
+        let refuse = |cause| Err(Refusal::new(cause));
         let Some(table) = context.table() else {
             let cause = RefusalCause::NoConfiguration;
-            return Err((self, Refusal::retry_after(cause, CONFIGURATION_WAIT_MS)));
+            return Err(Refusal::retry_after(cause, CONFIGURATION_WAIT_MS));
         };
         let path = &self.target_uri[..self.path_len];
         let Some(route) = table.route(&self.host, path).cloned() else {
-            return refuse(self, RefusalCause::NoRoute);
+            return refuse(RefusalCause::NoRoute);
         };
         let account = match &self.head.credential {
             _ if route.public => None,
             Some(credential) => match table.account(credential) {
                 Some(account) => Some(Name::clone(account)),
-                None => return refuse(self, RefusalCause::BadCredential),
+                None => return refuse(RefusalCause::BadCredential),
             },
-            None => return refuse(self, RefusalCause::BadCredential),
+            None => return refuse(RefusalCause::BadCredential),
         };
         let draw = base::stable_hash(&[self.id()]);
         let Some(service) = route.service(draw).cloned() else {
-            return refuse(self, RefusalCause::NoTarget);
+            return refuse(RefusalCause::NoTarget);
         };
         let wait_ms = self.head.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
         let ends_at = self.at.saturating_add(wait_ms);
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -13,7 +13,7 @@
 
 use crate::call::{AdmittedCall, ReceivedCall};
 use crate::refusal::{Refusal, RefusalCause};
-use crate::relay::{RelayBody, StreamRelay, read_whole};
+use crate::relay::{OpenStream, RelayBody, StreamRelay, read_whole};
 use crate::report::{CallEnd, CallReport};
 use crate::send::{Attempts, HOP_HEADERS, TargetAnswer, send};
 use crate::share;
@@ -31,10 +31,17 @@
 const DROPPED_BODY_BYTES: usize = 4 << 20;
 const DROPPED_BODY_TIME: Duration = Duration::from_millis(500);
 
+/// A stream whose first bytes came.
+struct BegunStream {
+    parts: http::response::Parts,
+    open: OpenStream,
+    first: Option<hyper::body::Bytes>,
+}
+
 /// An answer that is ready to be passed on.
 enum ReadyAnswer {
     Whole(Response<RelayBody>),
-    Stream(http::response::Parts, crate::relay::OpenStream, Option<hyper::body::Bytes>),
+    Stream(Box<BegunStream>),
 }
 
 /// Serves one request.
@@ -57,7 +64,7 @@
     }
     let routed = match received.route(context) {
         Ok(routed) => routed,
-        Err((_, refusal)) => {
+        Err(refusal) => {
             drop_body(&mut payload).await;
             return refuse(&mut report, refusal);
         }
@@ -69,7 +76,7 @@
     };
     let admitted = match share::admit(context, routed, body, context.now()) {
         Ok(admitted) => admitted,
-        Err((_, refusal)) => return refuse(&mut report, refusal),
+        Err(refusal) => return refuse(&mut report, refusal),
     };
     report.admitted(admitted.is_within_share);
     let mut attempts = Attempts::default();
@@ -100,10 +107,9 @@
             report.ended(CallEnd::Answered, "complete");
             response
         }
-        ReadyAnswer::Stream(parts, open, first) => {
-            report.first_byte(parts.status.as_u16());
-            let opened = (open, first);
-            stream(&worker, admitted, attempts, parts, opened, io, ends_at, report)
+        ReadyAnswer::Stream(begun) => {
+            report.first_byte(begun.parts.status.as_u16());
+            stream(&worker, admitted, attempts, *begun, io, ends_at, report)
         }
     };
     if context.is_draining() {
@@ -162,7 +168,7 @@
     parts.status = answer.response.status();
     parts.headers = answer.response.headers().clone();
     let (open, first) = StreamRelay::open(answer).await?;
-    Ok(ReadyAnswer::Stream(parts, open, first))
+    Ok(ReadyAnswer::Stream(Box::new(BegunStream { parts, open, first })))
 }
 
 async fn whole(worker: &Worker, answer: TargetAnswer) -> Result<ReadyAnswer, String> {
@@ -176,19 +182,18 @@
     Ok(ReadyAnswer::Whole(response))
 }
 
-#[expect(clippy::too_many_arguments, reason = "all that a stream outlives its handler with")]
 fn stream(
     worker: &Rc<Worker>,
     call: AdmittedCall,
     attempts: Attempts,
-    parts: http::response::Parts,
-    opened: (crate::relay::OpenStream, Option<hyper::body::Bytes>),
+    begun: BegunStream,
     io: Option<IoRef>,
     ends_at: Instant,
     report: CallReport,
 ) -> Response<RelayBody> {
+    let BegunStream { parts, open, first } = begun;
     let worker = Rc::clone(worker);
-    let relay = StreamRelay::new(worker, call, attempts, opened, io, ends_at, report);
+    let relay = StreamRelay::new(worker, call, attempts, (open, first), io, ends_at, report);
     let mut response = Response::with_body(parts.status, relay.into_body());
     response.head_mut().headers = pass_headers(&parts.headers);
     response
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -23,7 +23,7 @@
     call: RoutedCall,
     body: Bytes,
     now: Millis,
-) -> Result<AdmittedCall, (RoutedCall, Refusal)> {
+) -> Result<AdmittedCall, Refusal> {
     context.repeats().note_request(&call.service, now);
     let account = call.account.clone().filter(|_| call.engine_memory().is_some());
     let Some(account) = account else {
@@ -47,7 +47,7 @@
             let aim_ms = call.route.target_latency_ms as f64;
             let wait_ms = aim_ms * context.settings.admission.return_share;
             let refusal = Refusal::retry_after(RefusalCause::OverShare, wait_ms as u64);
-            return Err((call, refusal));
+            return Err(refusal);
         }
     }
     Ok(AdmittedCall { routed: call, body, cost, is_within_share: verdict.is_within })
