perf: judge room by the chosen target, keep fewer connections

(2) requests over their account's share were admitted by the mean occupancy of all targets, while single targets were busy or dark. Ruled out: load, since running requests alone are under the cap. Change: streams use kept connections, only calls that must run once get a new one; 8 are kept. Room is what the chosen target is expected to have: its slots and the time to read what is ahead.

--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -74,10 +74,7 @@
         Ok(body) => body,
         Err(refusal) => return refuse(&mut report, refusal),
     };
-    let admitted = match share::admit(context, routed, body, context.now()) {
-        Ok(admitted) => admitted,
-        Err(refusal) => return refuse(&mut report, refusal),
-    };
+    let admitted = share::admit(context, routed, body);
     report.admitted(admitted.is_within_share);
     let mut attempts = Attempts::default();
     let left_ms = admitted.routed.left_ms(context.now());
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -10,6 +10,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use outbound::{Connection, ExchangeError};
+use route::CallKind;
 use target::{
     ChoiceQuestion, Outcome, OutstandingKey, Placement, RefusedChoice, TargetEntry, TargetKey,
     choose,
@@ -18,6 +19,7 @@
 use crate::call::AdmittedCall;
 use crate::port::SendHead;
 use crate::refusal::{Refusal, RefusalCause};
+use crate::share;
 use crate::worker::{Reuse, Worker};
 
 /// Connections that are refused in a row before the request is given up.
@@ -142,6 +144,9 @@
     let may_repeat = route.kind.may_repeat();
     loop {
         let placement = place(worker, call, &attempts.tried)?;
+        if attempts.tried.is_empty() {
+            share::check_room(context, call, &placement)?;
+        }
         let entry = placement.entry.clone();
         attempts.tried.push(Name::clone(&entry.id));
         attempts.choice = Some(ChoiceInputs {
@@ -245,7 +250,10 @@
     let request =
         context.loads().begin(placement.key, shape, placement.unread_tokens, context.now());
     let outstanding = Outstanding { worker: Rc::clone(worker), entry, key: placement.key, request };
-    let reuse = if call.routed.route.kind.may_repeat() { Reuse::Allowed } else { Reuse::Never };
+    let reuse = match call.routed.route.kind {
+        CallKind::NonIdempotent => Reuse::Never,
+        CallKind::Idempotent | CallKind::Stream { .. } => Reuse::Allowed,
+    };
     let mut connection = match worker.connection(&outstanding.entry, reuse).await {
         Ok(connection) => connection,
         Err(cause) => {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -79,9 +79,12 @@
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct AdmissionSettings {
-    /// Share of a service's slots up to which everybody is served: nobody
-    /// waits while the targets have room.
+    /// Share of a target's slots up to which requests over their account's
+    /// share are sent to it: nobody waits while the targets have room.
     pub room_share: f64,
+    /// Share of the time that callers aim for that such a request may be
+    /// expected to wait behind others.
+    pub room_until: f64,
     /// Share that is granted beyond the computed one, as costs are estimates.
     pub headroom: f64,
     /// Share of the time that callers aim for after which a refused caller may
@@ -91,7 +94,7 @@
 
 impl Default for AdmissionSettings {
     fn default() -> Self {
-        Self { room_share: 0.15, headroom: 1.1, return_share: 0.2 }
+        Self { room_share: 0.15, room_until: 0.2, headroom: 1.1, return_share: 0.2 }
     }
 }
 
--- a/crates/outbound/src/pool.rs
+++ b/crates/outbound/src/pool.rs
@@ -26,7 +26,7 @@
             unstated: Duration::from_millis(300),
             margin: Duration::from_millis(500),
             longest: Duration::from_secs(5),
-            each: 32,
+            each: 8,
         }
     }
 }
--- a/crates/target/src/choice.rs
+++ b/crates/target/src/choice.rs
@@ -109,6 +109,11 @@
     pub expected_ms: f64,
     /// Place in the order of the request's homes, from 0; none without a home.
     pub home_rank: Option<usize>,
+    /// Expected time behind requests that are at the target already, in
+    /// milliseconds.
+    pub waiting_ms: f64,
+    /// Requests at the target for each of its slots.
+    pub occupancy: f64,
 }
 
 /// Why a request goes nowhere.
@@ -157,6 +162,8 @@
                 unread_tokens: expectation.unread_tokens as u32,
                 expected_ms: expectation.ms,
                 home_rank,
+                waiting_ms: expectation.waiting_ms,
+                occupancy: expectation.occupancy,
             });
         }
         if home_rank.is_some() && expectation.ms <= home_until_ms {
@@ -188,6 +195,8 @@
 struct Expectation {
     ms: f64,
     unread_tokens: f64,
+    waiting_ms: f64,
+    occupancy: f64,
     is_full: bool,
 }
 
@@ -204,7 +213,8 @@
     let kept = home_rank.and_then(|rank| settings.kept_at.get(rank)).copied().unwrap_or(0.0);
     let kept_tokens = kept * f64::from(shape.shared_tokens());
     let unread_tokens = (f64::from(shape.prompt_tokens) - kept_tokens).max(0.0);
-    let reading_ms = (total.unread_tokens as f64 + unread_tokens) * load.read_ms();
+    let waiting_ms = total.unread_tokens as f64 * load.read_ms();
+    let reading_ms = waiting_ms + unread_tokens * load.read_ms();
     let requests = load.requests(now);
     let is_near = &*entry.failure_domain == question.near;
     let crossing_ms = if is_near { 0.0 } else { settings.crossing_ms };
@@ -214,7 +224,7 @@
     let is_full = f64::from(requests) >= f64::from(entry.slots) * settings.slot_share
         || room.is_some_and(|room| memory as f64 > room && total.requests > 0);
     let ms = settings.overhead_ms * (1.0 + occupancy) + reading_ms + crossing_ms;
-    Expectation { ms, unread_tokens, is_full }
+    Expectation { ms, unread_tokens, waiting_ms, occupancy, is_full }
 }
 
 /// Orders targets by rendezvous hashing of the request's longest shared part.
