feat: tell the story of a request from log lines

Cause: from an id to its cause there was only the text of the logs, and a refusal over the share did not say which share, demand and load decided it. Change: the line at a request's end names share, demand, what the target was expected to do, and the revision known; poplar explain and timings read such lines from standard input; beliefs of the request's targets at the same instance belong to its story. Seen failing first: values with blanks were cut.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -42,16 +42,16 @@
         .to_options()
         .descr("Revisions, members, targets, backlog and shares")
         .command("status");
-    let fleet = fleet_args();
+    let fleet = optional_fleet_args();
     let request = positional::<String>("REQUEST");
     let explain = construct!(CtlCommand::Explain { fleet, request })
         .to_options()
-        .descr("Why a request went where it went")
+        .descr("Why a request went where it went; reads log lines without --router")
         .command("explain");
-    let timings = fleet_args()
+    let timings = optional_fleet_args()
         .map(CtlCommand::Timings)
         .to_options()
-        .descr("How long requests waited for a slot")
+        .descr("Where the time of requests went; reads log lines without --router")
         .command("timings");
     construct!([check, diff, status, explain, timings])
         .to_options()
@@ -60,14 +60,20 @@
 }
 
 fn fleet_args() -> impl Parser<FleetArgs> {
+    let is_named = |fleet: &FleetArgs| !fleet.routers.is_empty();
+    optional_fleet_args().guard(is_named, "at least one --router is required")
+}
+
+fn optional_fleet_args() -> impl Parser<FleetArgs> {
     let routers = long("router")
         .help("peer address of a router; may be given several times")
         .argument::<SocketAddr>("ADDRESS")
-        .some("at least one --router is required");
+        .many();
     let secret = long("secret")
         .help("the fleet's shared secret")
         .env("POPLAR_SECRET")
-        .argument::<String>("SECRET");
+        .argument::<String>("SECRET")
+        .fallback(String::new());
     let json = long("json").help("print JSON").switch();
     construct!(FleetArgs { routers, secret, json })
 }
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -5,6 +5,7 @@
 mod document;
 mod exit;
 mod fetch;
+pub mod logs;
 mod output;
 mod show;
 mod table;
@@ -20,7 +21,11 @@
         CtlCommand::Check { file } => document::check(&file),
         CtlCommand::Diff { old, new } => document::diff(&old, &new),
         CtlCommand::Status(fleet) => show::status(&fleet),
+        CtlCommand::Explain { request, fleet } if fleet.routers.is_empty() => {
+            show::explain_logs(&request, fleet.json)
+        }
         CtlCommand::Explain { request, fleet } => show::explain(&request, &fleet),
+        CtlCommand::Timings(fleet) if fleet.routers.is_empty() => show::timings_logs(fleet.json),
         CtlCommand::Timings(fleet) => show::timings(&fleet),
     };
     match outcome {
--- /dev/null
+++ b/crates/ctl/src/logs.rs
@@ -0,0 +1,222 @@
+//! Reads the routers' log lines and tells what they say of requests.
+
+use std::collections::BTreeMap;
+use std::io::BufRead;
+
+use serde::Serialize;
+
+/// One log line: when, and its fields.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct LogLine {
+    /// Word before the time, where several logs were merged: the instance.
+    pub source: String,
+    /// As logged, in UTC.
+    pub time: String,
+    pub fields: BTreeMap<String, String>,
+}
+
+/// Where time went, over the requests of one route that ended alike.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct TimingRow {
+    pub route: String,
+    pub end: String,
+    pub requests: usize,
+    /// Median and 99th percentile of the time to the first byte, in
+    /// milliseconds; none when no answer began.
+    pub first_ms: Option<(u64, u64)>,
+    /// The same of the whole time.
+    pub took_ms: (u64, u64),
+}
+
+impl LogLine {
+    /// Parses a line of the form `TIME LEVEL module: key=value …`; text before
+    /// the time is skipped. None when it has no such form.
+    pub fn parse(line: &str) -> Option<Self> {
+        let is_time = |word: &&str| word.len() > 20 && word.contains('T') && word.ends_with('Z');
+        let time = line.split_whitespace().find(is_time)?;
+        let (before, rest) = line.split_once(time)?;
+        let source = before.split_whitespace().last().unwrap_or_default().to_owned();
+        let (_, mut rest) = rest.split_once(": ")?;
+        let mut fields = BTreeMap::new();
+        while let Some((key, after)) = rest.split_once('=') {
+            let (value, after) = split_value(after);
+            fields.insert(key.trim().to_owned(), value);
+            rest = after;
+        }
+        (!fields.is_empty()).then(|| Self { source, time: time.to_owned(), fields })
+    }
+
+    pub fn field(&self, name: &str) -> Option<&str> {
+        self.fields.get(name).map(String::as_str)
+    }
+
+    fn is(&self, unit: &str, event: &str) -> bool {
+        self.field("unit") == Some(unit) && self.field("event") == Some(event)
+    }
+}
+
+/// Whether a text begins with `key=`.
+fn begins_field(text: &str) -> bool {
+    let key = text.split_once('=').map_or("", |(key, _)| key);
+    !key.is_empty() && key.chars().all(|c| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '_')
+}
+
+/// A value, quoted or up to the next field, and what follows it.
+fn split_value(text: &str) -> (String, &str) {
+    let Some(quoted) = text.strip_prefix('"') else {
+        let blanks = text.match_indices(' ').map(|(at, _)| at);
+        let mut ends = blanks.filter(|at| begins_field(&text[at + 1..]));
+        let end = ends.next();
+        let (value, rest) = text.split_at(end.unwrap_or(text.len()));
+        return (value.to_owned(), rest.trim_start());
+    };
+    let mut value = String::new();
+    let mut is_escaped = false;
+    for (at, c) in quoted.char_indices() {
+        match c {
+            _ if is_escaped => {
+                value.push(c);
+                is_escaped = false;
+            }
+            '\\' => is_escaped = true,
+            '"' => return (value, quoted[at + 1..].trim_start()),
+            _ => value.push(c),
+        }
+    }
+    (value, "")
+}
+
+/// Parses all lines that have the form of a log line.
+pub fn read_lines(reader: impl BufRead) -> Vec<LogLine> {
+    let lines = reader.lines().map_while(Result::ok);
+    lines.filter_map(|line| LogLine::parse(&line)).collect()
+}
+
+/// The lines that decided on a request, in order: its own, and what was said of
+/// its targets at the same instance before.
+pub fn story<'a>(lines: &'a [LogLine], request: &str) -> Vec<&'a LogLine> {
+    let own = |line: &&LogLine| line.field("request") == Some(request);
+    let Some(last) = lines.iter().rposition(|line| own(&line)) else { return Vec::new() };
+    let source = &lines[last].source;
+    let targets: Vec<&str> = lines.iter().filter(own).filter_map(|l| l.field("target")).collect();
+    let is_belief = |line: &LogLine| {
+        line.source == *source
+            && line.field("target").is_some_and(|target| targets.contains(&target))
+            && (line.is("view", "target") || line.is("health", "set_aside"))
+    };
+    let lines = lines[..=last].iter();
+    lines.filter(|line| own(line) || is_belief(line)).collect()
+}
+
+/// One line of a story in words.
+pub fn describe(line: &LogLine) -> String {
+    let field = |name| line.field(name).unwrap_or("-");
+    let told = match (field("unit"), field("event")) {
+        ("view", "target") => format!(
+            "target {} was {} at revision {} (from {})",
+            field("target"),
+            field("change"),
+            field("revision"),
+            field("origin"),
+        ),
+        ("health", "set_aside") => format!(
+            "target {} was set aside: {}, {} of its last requests failed",
+            field("target"),
+            field("outcome"),
+            field("rate"),
+        ),
+        ("send", "attempt_failed") => format!(
+            "target {} at {} failed it: {}; {}",
+            field("target"),
+            field("address"),
+            field("cause"),
+            if field("goes_on") == "true" { "sent to another" } else { "given up" },
+        ),
+        ("pipeline", "answer_lost") => format!(
+            "the answer of target {} was lost: {}; {}",
+            field("target"),
+            field("cause"),
+            if field("goes_on") == "true" { "sent to another" } else { "given up" },
+        ),
+        ("relay", "resumed") => {
+            format!(
+                "the stream broke off ({}) and goes on after event {}",
+                field("cause"),
+                field("after")
+            )
+        }
+        ("call", "ended") => describe_end(line),
+        (unit, event) => format!("{unit}: {event}"),
+    };
+    format!("{} {told}", line.time)
+}
+
+fn describe_end(line: &LogLine) -> String {
+    let field = |name| line.field(name).unwrap_or("-");
+    let mut told = format!(
+        "ended {} after {} ms: {}, status {}",
+        field("end"),
+        field("took_ms"),
+        field("cause"),
+        field("status"),
+    );
+    if let Some(wait) = line.field("retry_after_ms") {
+        told += &format!(", may return after {wait} ms");
+    }
+    if line.field("within_share") == Some("false") {
+        told += &format!(
+            "; account {} asks for {} tokens/s and its share is {}",
+            field("account"),
+            field("asked"),
+            field("share"),
+        );
+    }
+    if let Some(expected) = line.field("expected_ms") {
+        told += &format!(
+            "; the target was expected to answer after {expected} ms, {} of them behind others, \
+             with {} requests for each slot",
+            field("waiting_ms"),
+            field("occupancy"),
+        );
+    }
+    if let Some(first) = line.field("first_ms") {
+        told += &format!("; first byte after {first} ms");
+    }
+    told + &format!(
+        "; route {}, target {}, sent {} times, configuration {}, revision {}",
+        field("route"),
+        field("target"),
+        field("sent"),
+        field("version"),
+        field("revision"),
+    )
+}
+
+/// Where time went, by route and end.
+pub fn timings(lines: &[LogLine]) -> Vec<TimingRow> {
+    type Times = (Vec<u64>, Vec<u64>);
+    let mut groups: BTreeMap<(String, String), Times> = BTreeMap::new();
+    for line in lines.iter().filter(|line| line.is("call", "ended")) {
+        let text = |name| line.field(name).unwrap_or("-").to_owned();
+        let number = |name| line.field(name).and_then(|value| value.parse::<u64>().ok());
+        let (first, took) = groups.entry((text("route"), text("end"))).or_default();
+        first.extend(number("first_ms"));
+        took.extend(number("took_ms"));
+    }
+    let rows = groups.into_iter().map(|((route, end), (mut first, mut took))| {
+        let requests = took.len();
+        let first_ms = (!first.is_empty()).then(|| percentiles(&mut first));
+        TimingRow { route, end, requests, first_ms, took_ms: percentiles(&mut took) }
+    });
+    rows.collect()
+}
+
+/// Median and 99th percentile by nearest rank; zeros for no values.
+fn percentiles(values: &mut [u64]) -> (u64, u64) {
+    values.sort_unstable();
+    let at = |part: usize| {
+        let rank = (values.len() * part).div_ceil(100).max(1);
+        values.get(rank - 1).copied().unwrap_or(0)
+    };
+    (at(50), at(99))
+}
--- a/crates/ctl/src/show.rs
+++ b/crates/ctl/src/show.rs
@@ -5,6 +5,7 @@
 use crate::args::FleetArgs;
 use crate::exit::CtlExit;
 use crate::fetch::fetch_all;
+use crate::logs;
 use crate::output::print_line;
 use crate::table::print_table;
 
@@ -96,6 +97,50 @@
     Ok(exit)
 }
 
+/// Tells the story of a request from log lines on standard input.
+///
+/// # Errors
+/// The lines have no JSON form.
+pub(crate) fn explain_logs(request: &str, is_json: bool) -> anyhow::Result<CtlExit> {
+    let lines = logs::read_lines(std::io::stdin().lock());
+    let story = logs::story(&lines, request);
+    if is_json {
+        print_line(&serde_json::to_string_pretty(&story)?);
+    } else {
+        story.iter().for_each(|line| print_line(&logs::describe(line)));
+    }
+    if story.is_empty() {
+        print_line(&format!("no log line names request {request}"));
+        return Ok(CtlExit::Negative);
+    }
+    Ok(CtlExit::Done)
+}
+
+/// Shows where time went, from log lines on standard input.
+///
+/// # Errors
+/// The rows have no JSON form.
+pub(crate) fn timings_logs(is_json: bool) -> anyhow::Result<CtlExit> {
+    let lines = logs::read_lines(std::io::stdin().lock());
+    let rows = logs::timings(&lines);
+    if is_json {
+        print_line(&serde_json::to_string_pretty(&rows)?);
+        return Ok(CtlExit::Done);
+    }
+    let cells = rows.iter().map(|row| {
+        let first = row
+            .first_ms
+            .map_or(("-".into(), "-".into()), |(p50, p99)| (p50.to_string(), p99.to_string()));
+        let took = (row.took_ms.0.to_string(), row.took_ms.1.to_string());
+        let requests = row.requests.to_string();
+        vec![row.route.clone(), row.end.clone(), requests, first.0, first.1, took.0, took.1]
+    });
+    let cells: Vec<Vec<String>> = cells.collect();
+    let heading = ["route", "end", "requests", "first p50 ms", "p99", "took p50 ms", "p99"];
+    print_table(&heading, &cells);
+    Ok(CtlExit::Done)
+}
+
 /// The answers that came; routers that did not answer are named on standard
 /// error.
 fn fetch_reported(fleet: &FleetArgs, path: &str) -> (Vec<Value>, CtlExit) {
--- /dev/null
+++ b/crates/ctl/tests/logs.rs
@@ -0,0 +1,48 @@
+//! The story of a request from log lines.
+
+use ctl::logs::{LogLine, describe, read_lines, story, timings};
+
+const LOG: &str = r#"
+  12.1 edge-1 2026-06-24T20:52:57.900392Z  INFO gateway::view: unit="view" event="target" target=t-1 change=Added revision=6 origin=Peer
+edge-1 2026-06-24T20:52:58.000000Z  INFO gateway::send: unit="send" event="attempt_failed" request=r-1 target=t-1 address=10.0.0.1:80 cause="said \"no\" twice" sent=1 goes_on=false
+edge-2 2026-06-24T20:52:58.000100Z  INFO gateway::view: unit="view" event="target" target=t-1 change=Added revision=7 origin=Peer
+no log line at all
+edge-1 2026-06-24T20:52:58.100000Z  INFO gateway::report: unit="call" event="ended" request=r-1 end=Refused cause="AnswerLost" status=502 route="r-a" target="t-1" sent=1 expected_ms=90 waiting_ms=30 occupancy=0.4 within_share=false share=100 asked=400 took_ms=12 version=3 revision=7
+2026-06-24T20:52:58.200000Z  INFO gateway::report: unit="call" event="ended" request=r-2 end=Answered cause="complete" status=200 route="r-a" first_ms=40 took_ms=300 version=3 revision=7
+2026-06-24T20:52:58.300000Z  INFO gateway::view: unit="view" event="configuration" version=4 verdict=Accepted { replaced: Some(3) } origin=Changes
+"#;
+
+#[test]
+fn fields_are_found_quoted_or_not_and_after_a_prefix() {
+    let lines = read_lines(LOG.as_bytes());
+    assert_eq!(lines.len(), 6);
+    assert_eq!(lines[0].field("target"), Some("t-1"));
+    assert_eq!((lines[0].source.as_str(), lines[1].source.as_str()), ("edge-1", "edge-1"));
+    assert_eq!(lines[1].field("cause"), Some("said \"no\" twice"));
+    assert_eq!(lines[5].field("verdict"), Some("Accepted { replaced: Some(3) }"));
+    assert_eq!(lines[5].field("origin"), Some("Changes"));
+    assert_eq!(LogLine::parse("nothing"), None);
+}
+
+#[test]
+fn a_story_has_the_request_s_lines_and_what_was_believed_of_its_target() {
+    let lines = read_lines(LOG.as_bytes());
+    let told: Vec<String> = story(&lines, "r-1").into_iter().map(describe).collect();
+    assert_eq!(told.len(), 3, "{told:#?}");
+    assert!(told[0].contains("target t-1 was Added at revision 6"), "{}", told[0]);
+    assert!(told[1].contains("said \"no\" twice; given up"), "{}", told[1]);
+    for part in ["ended Refused after 12 ms", "asks for 400 tokens/s and its share is 100", "90 ms"]
+    {
+        assert!(told[2].contains(part), "{}", told[2]);
+    }
+    assert!(story(&lines, "r-9").is_empty());
+}
+
+#[test]
+fn timings_are_grouped_by_route_and_end() {
+    let rows = timings(&read_lines(LOG.as_bytes()));
+    let answered = rows.iter().find(|row| row.end == "Answered").unwrap();
+    assert_eq!((answered.requests, answered.first_ms), (1, Some((40, 40))));
+    let refused = rows.iter().find(|row| row.end == "Refused").unwrap();
+    assert_eq!((refused.first_ms, refused.took_ms), (None, (12, 12)));
+}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use admit::ShareVerdict;
 use base::{Millis, Name};
 use http::Method;
 use hyper::body::Bytes;
@@ -55,7 +56,14 @@
     pub(crate) body: Bytes,
     /// Its cost in the account's share, in tokens; 0 where shares do not hold.
     pub(crate) cost: f64,
-    pub(crate) is_within_share: bool,
+    /// None where shares do not hold: plain services and public routes.
+    pub(crate) share: Option<ShareVerdict>,
+}
+
+impl AdmittedCall {
+    pub(crate) fn is_within_share(&self) -> bool {
+        self.share.is_none_or(|share| share.is_within)
+    }
 }
 
 impl ReceivedCall {
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -75,7 +75,7 @@
         Err(refusal) => return refuse(&mut report, refusal),
     };
     let admitted = share::admit(context, routed, body);
-    report.admitted(admitted.is_within_share);
+    report.admitted(&admitted);
     let mut attempts = Attempts::default();
     let left_ms = admitted.routed.left_ms(context.now());
     let ends_at = Instant::now() + Duration::from_millis(left_ms);
@@ -208,7 +208,7 @@
 }
 
 fn give_back(worker: &Worker, call: &AdmittedCall) {
-    let account = call.routed.account.as_ref().filter(|_| call.is_within_share);
+    let account = call.routed.account.as_ref().filter(|_| call.is_within_share());
     if let Some(account) = account.filter(|_| call.cost > 0.0) {
         worker.context.shares().give_back(account, call.cost);
     }
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -2,10 +2,11 @@
 
 use std::sync::Arc;
 
+use admit::ShareVerdict;
 use base::{Millis, Name};
 use cadence::prelude::*;
 
-use crate::call::RoutedCall;
+use crate::call::{AdmittedCall, RoutedCall};
 use crate::context::{GatewayContext, OpenCall};
 use crate::refusal::Refusal;
 use crate::send::{Attempts, ChoiceInputs};
@@ -37,7 +38,7 @@
     status: Option<u16>,
     sent: u32,
     choice: Option<ChoiceInputs>,
-    is_within_share: Option<bool>,
+    share: Option<ShareVerdict>,
     is_ended: bool,
     _open: OpenCall,
 }
@@ -56,7 +57,7 @@
             status: None,
             sent: 0,
             choice: None,
-            is_within_share: None,
+            share: None,
             is_ended: false,
             _open: OpenCall::new(context),
         }
@@ -68,8 +69,8 @@
         self.version = Some(call.table.version);
     }
 
-    pub(crate) fn admitted(&mut self, is_within_share: bool) {
-        self.is_within_share = Some(is_within_share);
+    pub(crate) fn admitted(&mut self, call: &AdmittedCall) {
+        self.share = call.share;
     }
 
     pub(crate) fn sent(&mut self, attempts: &Attempts) {
@@ -121,13 +122,18 @@
             target = self.target.as_deref(),
             sent = self.sent,
             expected_ms = self.choice.map(|choice| choice.expected_ms),
+            waiting_ms = self.choice.map(|choice| choice.waiting_ms),
+            occupancy = self.choice.map(|choice| choice.occupancy),
             unread_tokens = self.choice.map(|choice| choice.unread_tokens),
             home_rank = self.choice.and_then(|choice| choice.home_rank),
-            within_share = self.is_within_share,
+            within_share = self.share.map(|share| share.is_within),
+            share = self.share.map(|share| share.share as u64),
+            asked = self.share.map(|share| share.asked as u64),
             retry_after_ms,
             first_ms,
             took_ms,
             version = self.version,
+            revision = self.context.source().revision,
         );
     }
 }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -115,6 +115,10 @@
 pub(crate) struct ChoiceInputs {
     /// Expected time to the first byte, in milliseconds.
     pub(crate) expected_ms: u64,
+    /// The part of it behind other requests, in milliseconds.
+    pub(crate) waiting_ms: u64,
+    /// Requests at the target for each of its slots.
+    pub(crate) occupancy: f64,
     pub(crate) unread_tokens: u32,
     pub(crate) home_rank: Option<usize>,
 }
@@ -144,16 +148,18 @@
     let may_repeat = route.kind.may_repeat();
     loop {
         let placement = place(worker, call, &attempts.tried)?;
-        if attempts.tried.is_empty() {
-            share::check_room(context, call, &placement)?;
-        }
-        let entry = placement.entry.clone();
-        attempts.tried.push(Name::clone(&entry.id));
         attempts.choice = Some(ChoiceInputs {
             expected_ms: placement.expected_ms as u64,
+            waiting_ms: placement.waiting_ms as u64,
+            occupancy: (placement.occupancy * 100.0).round() / 100.0,
             unread_tokens: placement.unread_tokens,
             home_rank: placement.home_rank,
         });
+        if attempts.tried.is_empty() {
+            share::check_room(context, call, &placement)?;
+        }
+        let entry = placement.entry.clone();
+        attempts.tried.push(Name::clone(&entry.id));
         let end = attempt(worker, call, placement, attempts).await;
         let (cause, refusal) = match end {
             AttemptEnd::Answer(answer) => {
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -24,22 +24,11 @@
     context.repeats().note_request(&call.service, now);
     let account = call.account.clone().filter(|_| call.engine_memory().is_some());
     let Some(account) = account else {
-        return AdmittedCall { routed: call, body, cost: 0.0, is_within_share: true };
+        return AdmittedCall { routed: call, body, cost: 0.0, share: None };
     };
     let cost = cost_of(&call);
     let verdict = context.shares().arrived(&account, cost, now);
-    if !verdict.is_within {
-        tracing::debug!(
-            unit = "share",
-            event = "over_share",
-            request = call.id(),
-            %account,
-            cost,
-            share = verdict.share,
-            asked = verdict.asked,
-        );
-    }
-    AdmittedCall { routed: call, body, cost, is_within_share: verdict.is_within }
+    AdmittedCall { routed: call, body, cost, share: Some(verdict) }
 }
 
 /// Refuses a request over its account's share unless its target has room.
@@ -55,7 +44,7 @@
     let aim_ms = call.routed.route.target_latency_ms as f64;
     let has_room = placement.occupancy < settings.room_share
         && placement.waiting_ms <= aim_ms * settings.room_until;
-    if call.is_within_share || has_room {
+    if call.is_within_share() || has_room {
         return Ok(());
     }
     let wait_ms = aim_ms * settings.return_share;
