--- a/crates/mesh/tests/membership.rs
+++ b/crates/mesh/tests/membership.rs
@@ -211,5 +211,5 @@
         }
     }
     let read = reading.iter().filter(|reads| **reads).count();
-    assert!(read >= 1 && read <= 30, "{read} of 60 read at the start");
+    assert!((1..=30).contains(&read), "{read} of 60 read at the start");
 }
