--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -41,6 +41,8 @@
     let domain = question.domain.as_deref().unwrap_or(&settings.failure_domain);
     let now = context.now();
     let addresses = context.members().caller_addresses(domain, mine, MAX_ADDRESSES, now);
+    let peer = request.peer_addr();
+    tracing::debug!(unit = "serve", event = "addresses", ?peer, domain, ?addresses);
     if addresses.is_empty() {
         return empty(StatusCode::SERVICE_UNAVAILABLE);
     }
