--- a/crates/target/tests/registry_machine.rs
+++ b/crates/target/tests/registry_machine.rs
@@ -17,15 +17,23 @@
 #[derive(Clone, Debug)]
 enum Transition {
     /// The source writes a record; it is not yet heard.
-    Write { target: usize, incarnation: u64, state: Option<TargetState> },
+    Write {
+        target: usize,
+        incarnation: u64,
+        state: Option<TargetState>,
+    },
     /// One of the records written so far is heard.
-    Hear { record: prop::sample::Index },
+    Hear {
+        record: prop::sample::Index,
+    },
     /// A whole listing of the source is heard.
     List,
     Lose,
     Reach,
     Follow,
-    Wait { ms: u64 },
+    Wait {
+        ms: u64,
+    },
 }
 
 /// The source, and what a registry that heard the same has to serve.
