--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod events;
 mod facts;
 mod follow;
+mod headers;
 mod pipeline;
 mod port;
 mod refusal;
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -5,17 +5,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::header::CONTENT_LENGTH;
-use ntex::http::{ConnectionType, HeaderMap, Payload, Request, Response};
+use ntex::http::{ConnectionType, Payload, Request, Response};
 use ntex::io::IoRef;
 use ntex::util::Bytes;
 use tokio::time::Instant;
 
 use crate::call::{AdmittedCall, ReceivedCall};
+use crate::headers::pass_headers;
 use crate::refusal::{Refusal, RefusalCause};
 use crate::relay::{OpenStream, RelayBody, StreamRelay, read_whole};
 use crate::report::{CallEnd, CallReport};
-use crate::send::{Attempts, HOP_HEADERS, TargetAnswer, send};
+use crate::send::{Attempts, TargetAnswer, send};
 use crate::share;
 use crate::worker::Worker;
 
@@ -196,17 +196,6 @@
     response
 }
 
-/// The headers of a target's answer that concern the caller.
-fn pass_headers(headers: &http::HeaderMap) -> HeaderMap {
-    let mut passed = HeaderMap::with_capacity(headers.len());
-    for (name, value) in headers {
-        if !HOP_HEADERS.contains(name) && *name != CONTENT_LENGTH {
-            passed.append(name.clone(), value.into());
-        }
-    }
-    passed
-}
-
 fn give_back(worker: &Worker, call: &AdmittedCall) {
     let account = call.routed.account.as_ref().filter(|_| call.is_within_share());
     if let Some(account) = account.filter(|_| call.cost > 0.0) {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -20,8 +20,9 @@
 
 use crate::call::AdmittedCall;
 use crate::events::EventCutter;
+use crate::headers::stated_keep_alive;
 use crate::report::{CallEnd, CallReport};
-use crate::send::{Attempts, Outstanding, TargetAnswer, send, stated_keep_alive};
+use crate::send::{Attempts, Outstanding, TargetAnswer, send};
 use crate::worker::Worker;
 
 /// Why an answer on its way was broken off. The caller's connection is closed,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,6 +1,7 @@
 //! Start, drain and end of the gateway.
 
 use std::io;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -9,6 +10,7 @@
 use base::MetricsText;
 use ntex::SharedCfg;
 use ntex::http::{HttpService, HttpServiceConfig, Request, Response};
+use ntex::server::ServerBuilder;
 use ntex::service::fn_service;
 use ntex::time::Seconds;
 use tokio::signal::unix::{SignalKind, signal};
@@ -119,77 +121,68 @@
     SharedCfg::new("gateway").add(config).into()
 }
 
+type Answer = Result<Response<RelayBody>, io::Error>;
+
 fn listen(
     context: &Arc<GatewayContext>,
     text: &MetricsText,
 ) -> anyhow::Result<ntex::server::Server> {
-    type Answer = Result<Response<RelayBody>, io::Error>;
     let listen = context.settings.listen.clone();
-    let at = |step: &'static str| move |cause: io::Error| anyhow::anyhow!("step={step}: {cause}");
+    let builder = ntex::server::build().workers(1).backlog(BACKLOG).disable_signals();
     let shared = Arc::clone(context);
-    let mut builder = ntex::server::build()
-        .workers(1)
-        .backlog(BACKLOG)
-        .disable_signals()
-        .bind("callers", listen.callers, async move |_| {
-            let worker = Worker::new(Arc::clone(&shared));
-            ntex::rt::spawn(run_sweep(Rc::clone(&worker)));
-            HttpService::h1(fn_service(move |request: Request| {
-                let worker = Rc::clone(&worker);
-                async move { Answer::Ok(pipeline::serve(worker, request).await) }
-            }))
-        })
-        .map_err(at("bind_callers"))?
+    let bound = builder.bind("callers", listen.callers, async move |_| {
+        let worker = Worker::new(Arc::clone(&shared));
+        ntex::rt::spawn(run_sweep(Rc::clone(&worker)));
+        HttpService::h1(fn_service(move |request: Request| {
+            let worker = Rc::clone(&worker);
+            async move { Answer::Ok(pipeline::serve(worker, request).await) }
+        }))
+    });
+    let mut builder = bound
+        .map_err(|cause| bind_error("callers", listen.callers, &cause))?
         .config("callers", http_config());
-    let shared = Arc::clone(context);
-    builder = builder
-        .bind("ready", listen.ready, async move |_| {
-            let context = Arc::clone(&shared);
-            HttpService::h1(fn_service(move |request: Request| {
-                let response = serve::ready(&context, &request);
-                async move { Answer::Ok(response) }
-            }))
-        })
-        .map_err(at("bind_ready"))?
-        .config("ready", http_config());
-    let shared = Arc::clone(context);
-    builder = builder
-        .bind("addresses", listen.addresses, async move |_| {
-            let context = Arc::clone(&shared);
-            HttpService::h1(fn_service(move |request: Request| {
-                let response = serve::addresses(&context, &request);
-                async move { Answer::Ok(response) }
-            }))
-        })
-        .map_err(at("bind_addresses"))?
-        .config("addresses", http_config());
-    let shared = Arc::clone(context);
-    builder = builder
-        .bind("peers", listen.peers, async move |_| {
-            let context = Arc::clone(&shared);
-            HttpService::h1(fn_service(move |request: Request| {
-                let context = Arc::clone(&context);
-                async move { Answer::Ok(serve::peer(context, request).await) }
-            }))
-        })
-        .map_err(at("bind_peers"))?
-        .config("peers", http_config());
+    builder = bind(builder, "ready", listen.ready, context, async |context, request| {
+        serve::ready(&context, &request)
+    })?;
+    builder = bind(builder, "addresses", listen.addresses, context, async |context, request| {
+        serve::addresses(&context, &request)
+    })?;
+    builder = bind(builder, "peers", listen.peers, context, serve::peer)?;
     if let Some(metrics) = listen.metrics {
         let text = text.clone();
-        builder = builder
-            .bind("metrics", metrics, async move |_| {
-                let text = text.clone();
-                HttpService::h1(fn_service(move |_: Request| {
-                    let response = serve::metrics(text.render());
-                    async move { Answer::Ok(response) }
-                }))
-            })
-            .map_err(at("bind_metrics"))?
-            .config("metrics", http_config());
+        let render = move |_, _| std::future::ready(serve::metrics(text.render()));
+        builder = bind(builder, "metrics", metrics, context, render)?;
     }
     Ok(builder.run())
 }
 
+/// Answers requests at an address by a function of context and request.
+fn bind<F>(
+    builder: ServerBuilder,
+    name: &'static str,
+    address: SocketAddr,
+    context: &Arc<GatewayContext>,
+    answer: F,
+) -> anyhow::Result<ServerBuilder>
+where
+    F: AsyncFn(Arc<GatewayContext>, Request) -> Response<RelayBody> + Clone + Send + 'static,
+{
+    let context = Arc::clone(context);
+    let bound = builder.bind(name, address, async move |_| {
+        let (context, answer) = (Arc::clone(&context), answer.clone());
+        HttpService::h1(fn_service(move |request: Request| {
+            let (context, answer) = (Arc::clone(&context), answer.clone());
+            async move { Answer::Ok(answer(context, request).await) }
+        }))
+    });
+    let builder = bound.map_err(|cause| bind_error(name, address, &cause))?;
+    Ok(builder.config(name, http_config()))
+}
+
+fn bind_error(name: &str, address: SocketAddr, cause: &io::Error) -> anyhow::Error {
+    anyhow::anyhow!("step=bind name={name} peer={address}: {cause}")
+}
+
 async fn run_sweep(worker: Rc<Worker>) {
     while !worker.context.stop.is_cancelled() {
         tokio::time::sleep(SWEEP_PERIOD).await;
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -2,12 +2,10 @@
 //! may be repeated.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use base::Name;
 use cadence::prelude::*;
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response};
-use http_body_util::Full;
+use http::Response;
 use hyper::body::Incoming;
 use outbound::{Connection, ExchangeError};
 use route::CallKind;
@@ -17,7 +15,7 @@
 };
 
 use crate::call::AdmittedCall;
-use crate::port::SendHead;
+use crate::headers::write_request;
 use crate::refusal::{Refusal, RefusalCause};
 use crate::share;
 use crate::worker::{Reuse, Worker};
@@ -31,17 +29,6 @@
 /// milliseconds.
 const FULL_WAIT_MS: (u64, u64) = (200, 2_000);
 
-/// Headers that concern one connection only.
-pub(crate) const HOP_HEADERS: [HeaderName; 7] = [
-    http::header::CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    HeaderName::from_static("proxy-connection"),
-    http::header::TE,
-    http::header::TRAILER,
-    http::header::TRANSFER_ENCODING,
-    http::header::UPGRADE,
-];
-
 /// A request under way at a target; dropping it forgets the request.
 #[derive(Debug)]
 pub(crate) struct Outstanding {
@@ -308,59 +295,3 @@
     }
     AttemptEnd::Answer(Box::new(TargetAnswer { response, connection, outstanding }))
 }
-
-/// The request as the target gets it.
-fn write_request(
-    worker: &Worker,
-    call: &AdmittedCall,
-    entry: &TargetEntry,
-    last_event: Option<u64>,
-) -> Result<Request<Full<hyper::body::Bytes>>, String> {
-    let received = &call.routed.received;
-    let mut headers = HeaderMap::with_capacity(received.headers.len() + 4);
-    let named = named_by_connection(received);
-    for (name, value) in &received.headers {
-        let is_hop = HOP_HEADERS.contains(name) || named.iter().any(|other| other == name.as_str());
-        if is_hop || *name == http::header::CONTENT_LENGTH || *name == http::header::EXPECT {
-            continue;
-        }
-        let value = HeaderValue::from_bytes(value.as_bytes());
-        let value = value.map_err(|_| format!("header {name} has an invalid value"))?;
-        headers.append(name.clone(), value);
-    }
-    let now = worker.context.now();
-    let head = SendHead {
-        deadline_ms: call.routed.left_ms(now),
-        account: call.routed.account.as_deref(),
-        target: entry,
-        last_event: last_event.or(received.head.last_event),
-    };
-    worker.context.format.write_call(&mut headers, &head);
-    let mut request = Request::builder()
-        .method(received.method.clone())
-        .uri(received.target_uri.as_str())
-        .body(Full::new(call.body.clone()))
-        .map_err(|cause| cause.to_string())?;
-    if call.body.is_empty() && received.headers.contains_key(http::header::CONTENT_LENGTH) {
-        headers.insert(http::header::CONTENT_LENGTH, HeaderValue::from_static("0"));
-    }
-    *request.headers_mut() = headers;
-    Ok(request)
-}
-
-/// Headers that the caller's `Connection` header names.
-fn named_by_connection(received: &crate::call::ReceivedCall) -> Vec<String> {
-    let values = received.headers.get_all(http::header::CONNECTION);
-    values
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect()
-}
-
-/// Idle timeout that a target states in its answer.
-pub(crate) fn stated_keep_alive(headers: &HeaderMap) -> Option<Duration> {
-    let value = headers.get("keep-alive")?.to_str().ok()?;
-    let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
-    seconds.parse().ok().map(Duration::from_secs)
-}
