fix: a repeat that finds no target is not said not to have run

Cause, found by reading: when the first send of an idempotent request may have run and no second target could be had, the answer was 503, which promises that it did not run. Two further places could say so (connections refused in a row). Also: a kept connection that the target had closed counted against the target and sent the request away from its home. Change: a refusal after a send that may have run is 502; a closed kept connection is replaced by a new one to the same target. Test seen failing first (503 where 502 is due); 30 tests with stand-ins, soak and clippy green.

--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -97,6 +97,14 @@
     pub(crate) choice: Option<ChoiceInputs>,
 }
 
+impl Attempts {
+    /// The refusal, unless it would say of a request that may have run that it
+    /// did not.
+    fn truthful(&self, refusal: Refusal) -> Refusal {
+        if self.may_have_run { Refusal::new(RefusalCause::AnswerLost) } else { refusal }
+    }
+}
+
 /// What decided on a target.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ChoiceInputs {
@@ -134,7 +142,8 @@
     let route = &call.routed.route;
     let may_repeat = route.kind.may_repeat();
     loop {
-        let placement = place(worker, call, &attempts.tried)?;
+        let placed = place(worker, call, &attempts.tried);
+        let placement = placed.map_err(|refusal| attempts.truthful(refusal))?;
         attempts.choice = Some(ChoiceInputs {
             expected_ms: placement.expected_ms as u64,
             waiting_ms: placement.waiting_ms as u64,
@@ -187,12 +196,7 @@
             goes_on = refusal.is_none(),
         );
         if let Some(refusal) = refusal {
-            // What may have run is never said not to have run.
-            return Err(if attempts.may_have_run && !may_repeat {
-                Refusal::new(RefusalCause::AnswerLost)
-            } else {
-                refusal
-            });
+            return Err(attempts.truthful(refusal));
         }
         context.metrics.incr("repeats").ok();
     }
@@ -243,35 +247,44 @@
     let request =
         context.loads().begin(placement.key, shape, placement.unread_tokens, context.now());
     let outstanding = Outstanding { worker: Rc::clone(worker), entry, key: placement.key, request };
-    let reuse = match call.routed.route.kind {
+    let mut reuse = match call.routed.route.kind {
         CallKind::NonIdempotent => Reuse::Never,
         CallKind::Idempotent | CallKind::Stream { .. } => Reuse::Allowed,
     };
-    let mut connection = match worker.connection(&outstanding.entry, reuse).await {
-        Ok(connection) => connection,
-        Err(cause) => {
-            outstanding.end(Outcome::Unreachable);
-            return AttemptEnd::NotSent(cause.to_string());
+    let was_possible = attempts.may_have_run;
+    let (connection, response) = loop {
+        let mut connection = match worker.connection(&outstanding.entry, reuse).await {
+            Ok(connection) => connection,
+            Err(cause) => {
+                outstanding.end(Outcome::Unreachable);
+                return AttemptEnd::NotSent(cause.to_string());
+            }
+        };
+        let request = match write_request(worker, call, &outstanding.entry, attempts.last_event) {
+            Ok(request) => request,
+            Err(cause) => return AttemptEnd::NotSent(cause),
+        };
+        attempts.may_have_run = true;
+        match connection.exchange(request).await {
+            Ok(response) => break (connection, response),
+            Err(ExchangeError::NotSent { .. }) if reuse == Reuse::Allowed => {
+                // A kept connection was closed meanwhile: a new one to the same
+                // target keeps the request at its home.
+                attempts.may_have_run = was_possible;
+                reuse = Reuse::Never;
+            }
+            Err(ExchangeError::NotSent { cause, .. }) => {
+                attempts.may_have_run = was_possible;
+                return AttemptEnd::NotSent(cause);
+            }
+            Err(cause @ ExchangeError::Sent { .. }) => {
+                attempts.sent += 1;
+                outstanding.end(Outcome::Failed);
+                return AttemptEnd::Lost(cause.to_string());
+            }
         }
     };
-    let request = match write_request(worker, call, &outstanding.entry, attempts.last_event) {
-        Ok(request) => request,
-        Err(cause) => return AttemptEnd::NotSent(cause),
-    };
-    let was_possible = std::mem::replace(&mut attempts.may_have_run, true);
     attempts.sent += 1;
-    let response = match connection.exchange(request).await {
-        Ok(response) => response,
-        Err(ExchangeError::NotSent { cause, .. }) => {
-            attempts.sent -= 1;
-            attempts.may_have_run = was_possible;
-            return AttemptEnd::NotSent(cause);
-        }
-        Err(cause @ ExchangeError::Sent { .. }) => {
-            outstanding.end(Outcome::Failed);
-            return AttemptEnd::Lost(cause.to_string());
-        }
-    };
     let head = context.format.read_answer(response.status(), response.headers());
     if let Some(load) = head.load {
         context.loads().reported(placement.key, load, context.now());
