perf: bound the log lines of refusals that are alike

Change: refusals over the share write 50 lines a second at most, with the number left out; failures and all other ends write theirs as before.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -15,6 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::port::CallFormat;
+use crate::sampling::LineSampler;
 use crate::settings::GatewaySettings;
 
 /// What this router knows from the configuration source.
@@ -42,6 +43,7 @@
     repeats: Mutex<RepeatBudget>,
     members: Mutex<MemberTable>,
     source: Mutex<SourceProgress>,
+    over_share_lines: Mutex<LineSampler>,
     /// Wakes the beats when there is something that peers should hear at once.
     pub(crate) beat_now: Notify,
     /// Cancelled when the process ends.
@@ -102,6 +104,7 @@
             repeats: Mutex::new(RepeatBudget::new(repeat_settings)),
             members: Mutex::new(members),
             source: Mutex::default(),
+            over_share_lines: Mutex::default(),
             beat_now: Notify::new(),
             stop: CancellationToken::new(),
             is_draining: AtomicBool::new(false),
@@ -152,6 +155,10 @@
         lock(&self.source)
     }
 
+    pub(crate) fn over_share_lines(&self) -> MutexGuard<'_, LineSampler> {
+        lock(&self.over_share_lines)
+    }
+
     pub(crate) fn start_draining(&self) {
         self.is_draining.store(true, Ordering::Relaxed);
         self.beat_now.notify_one();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod reload;
 mod report;
 mod run;
+mod sampling;
 mod send;
 mod serve;
 mod settings;
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -8,7 +8,7 @@
 
 use crate::call::{AdmittedCall, RoutedCall};
 use crate::context::{GatewayContext, OpenCall};
-use crate::refusal::Refusal;
+use crate::refusal::{Refusal, RefusalCause};
 use crate::send::{Attempts, ChoiceInputs};
 
 /// How a request ended.
@@ -40,6 +40,10 @@
     choice: Option<ChoiceInputs>,
     share: Option<ShareVerdict>,
     is_ended: bool,
+    /// Its line is left out, as many are alike.
+    is_silent: bool,
+    /// Lines that were left out before this one.
+    left_out: u32,
     _open: OpenCall,
 }
 
@@ -59,6 +63,8 @@
             choice: None,
             share: None,
             is_ended: false,
+            is_silent: false,
+            left_out: 0,
             _open: OpenCall::new(context),
         }
     }
@@ -90,6 +96,13 @@
         let retry_after_ms = refusal.retry_after_ms;
         let cause = format!("{:?}", refusal.cause);
         self.context.metrics.incr(&format!("refused.{cause}")).ok();
+        if refusal.cause == RefusalCause::OverShare {
+            let now = self.context.now();
+            match self.context.over_share_lines().admit(now) {
+                Some(left_out) => self.left_out = left_out,
+                None => self.is_silent = true,
+            }
+        }
         self.end_with(CallEnd::Refused, &cause, retry_after_ms);
     }
 
@@ -110,6 +123,9 @@
         if let Some(first_ms) = first_ms {
             metrics.histogram("first_byte_ms", first_ms).ok();
         }
+        if self.is_silent {
+            return;
+        }
         tracing::info!(
             unit = "call",
             event = "ended",
@@ -134,6 +150,7 @@
             took_ms,
             version = self.version,
             revision = self.context.source().revision,
+            left_out = (self.left_out > 0).then_some(self.left_out),
         );
     }
 }
