--- /dev/null
+++ b/crates/target/tests/common/mod.rs
@@ -0,0 +1,21 @@
+//! Entries that the tests of the registry share.
+
+use std::net::SocketAddr;
+
+use target::{TargetEntry, TargetState};
+
+pub const SERVICE: &str = "model";
+
+/// An entry of the service at a fixed address.
+pub fn entry(id: &str, incarnation: u64, state: TargetState) -> TargetEntry {
+    TargetEntry {
+        id: id.into(),
+        incarnation,
+        service: SERVICE.into(),
+        address: SocketAddr::from(([10, 0, 0, 1], 8_000)),
+        failure_domain: "a".into(),
+        slots: 4,
+        state,
+        warm_up_ms: 0,
+    }
+}
--- a/crates/target/tests/registry.rs
+++ b/crates/target/tests/registry.rs
@@ -1,27 +1,11 @@
 //! Targets as published: merges, drains, lapsed entries.
 
-use std::net::SocketAddr;
+mod common;
 
 use base::Name;
+use common::{SERVICE, entry};
 use proptest::prelude::*;
-use target::{
-    RecordChange, RegistrySettings, TargetEntry, TargetRecord, TargetRegistry, TargetState,
-};
-
-const SERVICE: &str = "model";
-
-fn entry(id: &str, incarnation: u64, state: TargetState) -> TargetEntry {
-    TargetEntry {
-        id: id.into(),
-        incarnation,
-        service: SERVICE.into(),
-        address: SocketAddr::from(([10, 0, 0, 1], 8_000)),
-        failure_domain: "a".into(),
-        slots: 4,
-        state,
-        warm_up_ms: 0,
-    }
-}
+use target::{RecordChange, RegistrySettings, TargetRecord, TargetRegistry, TargetState};
 
 fn written(id: &str, revision: u64, state: TargetState) -> TargetRecord {
     TargetRecord { id: id.into(), entry: Some(entry(id, 1, state)), revision }
--- a/crates/target/tests/registry_machine.rs
+++ b/crates/target/tests/registry_machine.rs
@@ -1,16 +1,17 @@
 //! Stateful fuzzing of the registry against a simple oracle: records in any
 //! order and number, losses of the source, restarts under an old id, and time.
 
+mod common;
+
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 
 use base::Name;
+use common::{SERVICE, entry};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
 use target::{RegistrySettings, TargetEntry, TargetRecord, TargetRegistry, TargetState};
 
-const SERVICE: &str = "model";
 const TARGETS: usize = 4;
 const SEED: u64 = 20_301;
 
@@ -175,16 +176,7 @@
     before: usize,
 ) -> TargetRecord {
     let id: Name = format!("t{target}").into();
-    let entry = state.map(|state| TargetEntry {
-        id: id.clone(),
-        incarnation,
-        service: SERVICE.into(),
-        address: SocketAddr::from(([10, 0, 0, 1], 8_000)),
-        failure_domain: "a".into(),
-        slots: 4,
-        state,
-        warm_up_ms: 0,
-    });
+    let entry = state.map(|state| entry(&id, incarnation, state));
     TargetRecord { id, entry, revision: before as u64 + 1 }
 }
 
