--- a/crates/outbound/src/pool.rs
+++ b/crates/outbound/src/pool.rs
@@ -86,9 +86,4 @@
             !kept.is_empty() && is_known(key)
         });
     }
-
-    /// Connections kept for a peer.
-    pub fn count(&self, key: &K) -> usize {
-        self.kept.get(key).map_or(0, Vec::len)
-    }
 }
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -176,19 +176,10 @@
         routes.iter().find(|route| path.starts_with(&*route.path_prefix))
     }
 
-    /// Whether any route is for this host.
-    pub fn has_host(&self, host: &str) -> bool {
-        self.hosts.contains_key(host)
-    }
-
     pub fn service(&self, name: &str) -> Option<&ServiceSpec> {
         self.services.get(name)
     }
 
-    pub fn services(&self) -> impl Iterator<Item = &ServiceSpec> {
-        self.services.values()
-    }
-
     /// The client account that holds a credential.
     pub fn account(&self, credential: &str) -> Option<&Name> {
         self.credentials.get(credential)
