perf: decisions of a request at a constant cost

Cause: a flood at one gateway of the grown fleet takes its processor. With 90 routers, 90 targets and 30 accounts one request cost 130 us to find its account's share and 46 to 96 us to choose a target (a scratch program that calls the two functions), as both walked what every peer had said.

Ruled out: the hash of homes alone and the copies of entries; both were small beside the sums over the peers.

Change: sums over peers are kept as messages come; the level of the shares holds for 20 ms; entries are shared, not copied; homes are taken from a heap of weights of two hashes instead of a sorted list of hashed strings.

--- a/crates/admit/src/shares.rs
+++ b/crates/admit/src/shares.rs
@@ -7,13 +7,17 @@
 //! requests, so the fraction holds wherever the account's callers connect. A
 //! peer that died drops out of the sum when what it said is too old.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 use base::{Millis, Name};
 use serde::{Deserialize, Serialize};
 
 use crate::window::RateWindow;
 
+/// Time for which a computed level holds, in milliseconds: a tenth of the time
+/// between two messages of a peer, so its age adds little to theirs.
+const LEVEL_AGE_MS: Millis = 20;
+
 /// Bounds of the shares.
 #[derive(Clone, Copy, Debug)]
 pub struct ShareSettings {
@@ -66,20 +70,32 @@
 #[derive(Debug)]
 pub struct AccountShares {
     settings: ShareSettings,
-    accounts: BTreeMap<Name, AccountState>,
-    peers: BTreeMap<Name, (BTreeMap<Name, AccountRate>, Millis)>,
+    accounts: HashMap<Name, AccountState>,
+    peers: HashMap<Name, (BTreeMap<Name, AccountRate>, Millis)>,
+    /// Sum of what the peers said, by account.
+    peer_asked: HashMap<Name, f64>,
     /// Cost units per second that the fleet gives; 0 when not known.
     capacity: f64,
+    /// The level that all accounts may reach, and when it was computed.
+    level: Option<(f64, Millis)>,
 }
 
 impl AccountShares {
     pub fn new(settings: ShareSettings) -> Self {
-        Self { settings, accounts: BTreeMap::new(), peers: BTreeMap::new(), capacity: 0.0 }
+        Self {
+            settings,
+            accounts: HashMap::new(),
+            peers: HashMap::new(),
+            peer_asked: HashMap::new(),
+            capacity: 0.0,
+            level: None,
+        }
     }
 
     /// Sets the fleet's capacity in cost units per second.
     pub fn set_capacity(&mut self, capacity: f64) {
         self.capacity = capacity;
+        self.level = None;
     }
 
     /// Sets the time after which what a peer said no longer counts, in
@@ -90,9 +106,37 @@
 
     /// What a peer is asked for, replacing what it said before.
     pub fn peer_said(&mut self, peer: Name, rates: BTreeMap<Name, AccountRate>, now: Millis) {
+        self.forget_peer(&peer);
+        for (account, rate) in &rates {
+            *self.peer_asked.entry(Name::clone(account)).or_default() += f64::from(rate.asked);
+        }
         self.peers.insert(peer, (rates, now));
+    }
+
+    fn forget_peer(&mut self, peer: &Name) {
+        let Some((rates, _)) = self.peers.remove(peer) else { return };
+        for (account, rate) in rates {
+            let Some(asked) = self.peer_asked.get_mut(&account) else { continue };
+            *asked -= f64::from(rate.asked);
+            // What is left of a sum of fractions that were taken off again.
+            if *asked < 1e-3 {
+                self.peer_asked.remove(&account);
+            }
+        }
+    }
+
+    /// Drops what peers said too long ago.
+    fn forget_silent(&mut self, now: Millis) {
         let age = self.settings.peer_age_ms;
-        self.peers.retain(|_, (_, at)| now.saturating_sub(*at) <= age);
+        let silent: Vec<Name> = self
+            .peers
+            .iter()
+            .filter(|(_, (_, at))| now.saturating_sub(*at) > age)
+            .map(|(peer, _)| Name::clone(peer))
+            .collect();
+        for peer in silent {
+            self.forget_peer(&peer);
+        }
     }
 
     /// What this router is asked for, by account.
@@ -116,9 +160,9 @@
         });
         state.asked.add(cost, now);
         state.usual_cost += (cost - state.usual_cost) * 0.1;
-        let demands = self.demands(now);
-        let asked = demands.get(account).copied().unwrap_or(0.0);
-        let level = water_level(demands.values().copied(), self.capacity);
+        let own = state.asked.per_second(now);
+        let level = self.level(now);
+        let asked = own + self.peer_asked.get(account).copied().unwrap_or(0.0);
         let share = asked.min(level * self.settings.headroom);
         let covered = if self.capacity <= 0.0 || asked <= 0.0 { 1.0 } else { share / asked };
         let saved_requests = self.settings.saved_requests;
@@ -144,21 +188,21 @@
         }
     }
 
-    /// Demand of each account over the fleet, in cost units per second.
-    fn demands(&mut self, now: Millis) -> BTreeMap<Name, f64> {
-        let own = self.accounts.iter_mut();
-        let mut demands: BTreeMap<Name, f64> =
-            own.map(|(name, state)| (Name::clone(name), state.asked.per_second(now))).collect();
-        let age = self.settings.peer_age_ms;
-        for (rates, at) in self.peers.values() {
-            if now.saturating_sub(*at) > age {
-                continue;
-            }
-            for (name, rate) in rates {
-                *demands.entry(Name::clone(name)).or_default() += f64::from(rate.asked);
-            }
+    /// The level of all shares, in cost units per second.
+    fn level(&mut self, now: Millis) -> f64 {
+        if let Some((level, at)) = self.level
+            && now.saturating_sub(at) < LEVEL_AGE_MS
+        {
+            return level;
+        }
+        self.forget_silent(now);
+        let mut demands = self.peer_asked.clone();
+        for (name, state) in &mut self.accounts {
+            *demands.entry(Name::clone(name)).or_default() += state.asked.per_second(now);
         }
-        demands
+        let level = water_level(demands.into_values(), self.capacity);
+        self.level = Some((level, now));
+        level
     }
 }
 
--- a/crates/base/src/rendezvous.rs
+++ b/crates/base/src/rendezvous.rs
@@ -14,8 +14,21 @@
             hash = (hash ^ u64::from(byte)).wrapping_mul(PRIME);
         }
     }
+    finish(hash)
+}
+
+/// Hash of two hashes, the same on every process and every build: the weight
+/// of a candidate for a key in rendezvous hashing.
+pub fn mix_hashes(candidate: u64, key: u64) -> u64 {
+    finish(candidate ^ finish(key))
+}
+
+/// Spreads the low bits over all bits.
+fn finish(mut hash: u64) -> u64 {
     hash ^= hash >> 33;
     hash = hash.wrapping_mul(0xff51_afd7_ed55_8ccd);
+    hash ^= hash >> 33;
+    hash = hash.wrapping_mul(0xc4ce_b9fe_1a85_ec53);
     hash ^ (hash >> 33)
 }
 
--- a/crates/gateway/src/beats.rs
+++ b/crates/gateway/src/beats.rs
@@ -57,7 +57,7 @@
         context.repeats().set_fleet(routers, now);
         let live_ms = context.members().live_ms();
         context.shares().set_peer_age(live_ms);
-        context.loads().set_peer_age(live_ms);
+        context.loads().forget_silent(live_ms, now);
         let period = Duration::from_millis(context.members().period());
         tokio::select! {
             () = tokio::time::sleep(period) => {}
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -2,6 +2,7 @@
 //! may be repeated.
 
 use std::rc::Rc;
+use std::sync::Arc;
 
 use base::Name;
 use cadence::prelude::*;
@@ -33,7 +34,7 @@
 #[derive(Debug)]
 pub(crate) struct Outstanding {
     worker: Rc<Worker>,
-    pub(crate) entry: TargetEntry,
+    pub(crate) entry: Arc<TargetEntry>,
     key: TargetKey,
     request: Option<OutstandingKey>,
 }
@@ -154,7 +155,7 @@
         if attempts.tried.is_empty() {
             share::check_room(context, call, &placement)?;
         }
-        let entry = placement.entry.clone();
+        let entry = Arc::clone(&placement.entry);
         attempts.tried.push(Name::clone(&entry.id));
         let end = attempt(worker, call, placement, attempts).await;
         let (cause, refusal) = match end {
@@ -215,7 +216,7 @@
     let context = &worker.context;
     let now = context.now();
     let routed = &call.routed;
-    let candidates: Vec<TargetEntry> =
+    let candidates: Vec<Arc<TargetEntry>> =
         context.targets().serving(&routed.service, now).cloned().collect();
     let question = ChoiceQuestion {
         shape: routed.shape(),
--- a/crates/target/src/choice.rs
+++ b/crates/target/src/choice.rs
@@ -7,7 +7,11 @@
 //! in time: reading a part anew at another target takes work from everybody, so
 //! it is not enough that another one would be a little faster.
 
-use base::{Millis, Name, stable_hash};
+use std::cmp::Ordering;
+use std::collections::BinaryHeap;
+use std::sync::Arc;
+
+use base::{Millis, Name, mix_hashes};
 use serde::{Deserialize, Serialize};
 
 use crate::entry::TargetEntry;
@@ -102,7 +106,7 @@
 #[derive(Clone, Debug)]
 pub struct Placement {
     pub key: TargetKey,
-    pub entry: TargetEntry,
+    pub entry: Arc<TargetEntry>,
     /// Prompt tokens that the target probably has to read.
     pub unread_tokens: u32,
     /// Expected time to the first byte of the answer, in milliseconds.
@@ -131,25 +135,24 @@
 /// No target can take the request now.
 pub fn choose<'a>(
     book: &mut LoadBook,
-    candidates: impl Iterator<Item = &'a TargetEntry>,
+    candidates: impl Iterator<Item = &'a Arc<TargetEntry>>,
     question: &ChoiceQuestion<'_>,
     settings: &ChoiceSettings,
     now: Millis,
 ) -> Result<Placement, RefusedChoice> {
-    let mut usable = usable_targets(book, candidates, question, now);
+    let home_part = question.shape.home_part();
+    let mut usable = usable_targets(book, candidates, question, home_part, now);
     if usable.is_empty() {
         return Err(RefusedChoice::NoTarget);
     }
-    let home_part = question.shape.home_part();
-    if let Some(part) = home_part {
-        rank_by_home(&mut usable, part);
-    }
     let home_until_ms = question.aim_ms as f64 * settings.home_until;
     let mut best: Option<Placement> = None;
     let mut least_wait_ms = f64::MAX;
-    for (rank, (key, entry)) in usable.iter().enumerate() {
-        let Some(load) = book.get(*key) else { continue };
+    let mut rank = 0;
+    while let Some(RankedTarget { key, entry, .. }) = usable.pop() {
+        let Some(load) = book.get(key) else { continue };
         let home_rank = home_part.map(|_| rank);
+        rank += 1;
         let expectation = expect(load, entry, question, home_rank, settings, now);
         if expectation.is_full {
             least_wait_ms = least_wait_ms.min(expectation.ms);
@@ -157,8 +160,8 @@
         }
         if best.as_ref().is_none_or(|best| expectation.ms < best.expected_ms) {
             best = Some(Placement {
-                key: *key,
-                entry: (*entry).clone(),
+                key,
+                entry: Arc::clone(entry),
                 unread_tokens: expectation.unread_tokens as u32,
                 expected_ms: expectation.ms,
                 home_rank,
@@ -173,23 +176,54 @@
     best.ok_or(RefusedChoice::Full { wait_ms: least_wait_ms.min(1e6) as Millis })
 }
 
+/// A target with its weight for a request; the greatest is the first home.
+/// Without a home all weigh the same.
+struct RankedTarget<'a> {
+    weight: u64,
+    key: TargetKey,
+    entry: &'a Arc<TargetEntry>,
+}
+
+impl PartialEq for RankedTarget<'_> {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl Eq for RankedTarget<'_> {}
+
+impl PartialOrd for RankedTarget<'_> {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for RankedTarget<'_> {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.weight.cmp(&other.weight).then_with(|| self.entry.id.cmp(&other.entry.id))
+    }
+}
+
 /// Targets that may get the request; those that were set aside only when there
 /// are no others, since then the fault is more likely elsewhere.
 fn usable_targets<'a>(
     book: &mut LoadBook,
-    candidates: impl Iterator<Item = &'a TargetEntry>,
+    candidates: impl Iterator<Item = &'a Arc<TargetEntry>>,
     question: &ChoiceQuestion<'_>,
+    home_part: Option<u64>,
     now: Millis,
-) -> Vec<(TargetKey, &'a TargetEntry)> {
+) -> BinaryHeap<RankedTarget<'a>> {
     let mut usable = Vec::new();
     let mut set_aside = Vec::new();
     for entry in candidates.filter(|entry| !question.tried.contains(&entry.id)) {
         let key = book.key(entry);
         let Some(load) = book.get(key) else { continue };
+        let weight = home_part.map_or(0, |part| mix_hashes(load.hash, part));
+        let target = RankedTarget { weight, key, entry };
         let admitted = load.health.admits(&book.health, now);
-        if admitted { usable.push((key, entry)) } else { set_aside.push((key, entry)) }
+        if admitted { usable.push(target) } else { set_aside.push(target) }
     }
-    if usable.is_empty() { set_aside } else { usable }
+    BinaryHeap::from(if usable.is_empty() { set_aside } else { usable })
 }
 
 struct Expectation {
@@ -209,7 +243,7 @@
     now: Millis,
 ) -> Expectation {
     let shape = question.shape;
-    let total = load.total(now);
+    let total = load.total();
     let kept = home_rank.and_then(|rank| settings.kept_at.get(rank)).copied().unwrap_or(0.0);
     let kept_tokens = kept * f64::from(shape.shared_tokens());
     let unread_tokens = (f64::from(shape.prompt_tokens) - kept_tokens).max(0.0);
@@ -226,9 +260,3 @@
     let ms = settings.overhead_ms * (1.0 + occupancy) + reading_ms + crossing_ms;
     Expectation { ms, unread_tokens, waiting_ms, occupancy, is_full }
 }
-
-/// Orders targets by rendezvous hashing of the request's longest shared part.
-fn rank_by_home(usable: &mut [(TargetKey, &TargetEntry)], part: u64) {
-    let part = format!("{part:x}");
-    usable.sort_by_cached_key(|(_, entry)| std::cmp::Reverse(stable_hash(&[&part, &entry.id])));
-}
--- a/crates/target/src/load.rs
+++ b/crates/target/src/load.rs
@@ -1,9 +1,13 @@
 //! What is under way at each target: this router's own requests, those that
 //! peers said they sent, and what the target last reported.
+//!
+//! Load pattern: many routers, many targets and a flood of requests to place.
+//! Sums are kept as requests and messages come, so that a look at a target
+//! costs the same however many routers and requests there are.
 
-use std::collections::BTreeMap;
+use std::collections::HashMap;
 
-use base::{Millis, Name};
+use base::{Millis, Name, stable_hash};
 use serde::{Deserialize, Serialize};
 use slotmap::{SlotMap, new_key_type};
 
@@ -50,7 +54,7 @@
     pub slots: u32,
 }
 
-/// What one router has under way at one target.
+/// What routers have under way at one target.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PeerLoad {
     pub requests: u32,
@@ -66,6 +70,12 @@
         self.memory_tokens += other.memory_tokens;
     }
 
+    fn take_off(&mut self, other: &Self) {
+        self.requests -= other.requests;
+        self.unread_tokens -= other.unread_tokens;
+        self.memory_tokens -= other.memory_tokens;
+    }
+
     pub fn is_empty(&self) -> bool {
         self.requests == 0
     }
@@ -77,49 +87,41 @@
     pub id: Name,
     pub incarnation: u64,
     pub health: TargetHealth,
+    /// Stands for the target in hashes, the same on all routers.
+    pub(crate) hash: u64,
     outstanding: SlotMap<OutstandingKey, Outstanding>,
-    peers: BTreeMap<Name, (PeerLoad, Millis)>,
+    /// Sum over `outstanding`.
+    own: PeerLoad,
+    /// Sum over what the peers said.
+    peers: PeerLoad,
     report: Option<(LoadReport, Millis)>,
     read_ms: f64,
-    /// Time after which what a peer said no longer counts, in milliseconds.
-    peer_age_ms: Millis,
 }
 
 impl TargetLoad {
-    fn new(entry: &TargetEntry, peer_age_ms: Millis) -> Self {
+    fn new(entry: &TargetEntry) -> Self {
         Self {
             id: Name::clone(&entry.id),
             incarnation: entry.incarnation,
             health: TargetHealth::default(),
+            hash: stable_hash(&[&entry.id]),
             outstanding: SlotMap::with_key(),
-            peers: BTreeMap::new(),
+            own: PeerLoad::default(),
+            peers: PeerLoad::default(),
             report: None,
             read_ms: FIRST_READ_MS,
-            peer_age_ms,
         }
     }
 
     /// This router's own part.
     pub fn own(&self) -> PeerLoad {
-        let mut sum = PeerLoad::default();
-        for request in self.outstanding.values() {
-            sum.requests += 1;
-            sum.memory_tokens += u64::from(request.memory_tokens);
-            if !request.answering {
-                sum.unread_tokens += u64::from(request.unread_tokens);
-            }
-        }
-        sum
+        self.own
     }
 
     /// The parts of all routers that were heard of lately.
-    pub fn total(&self, now: Millis) -> PeerLoad {
-        let mut sum = self.own();
-        for (load, heard_at) in self.peers.values() {
-            if now.saturating_sub(*heard_at) <= self.peer_age_ms {
-                sum.add(load);
-            }
-        }
+    pub fn total(&self) -> PeerLoad {
+        let mut sum = self.own;
+        sum.add(&self.peers);
         sum
     }
 
@@ -132,7 +134,7 @@
     /// Requests at the target: what is known to be sent, or what it reports.
     pub fn requests(&self, now: Millis) -> u32 {
         let reported = self.report(now).map_or(0, |report| report.running + report.waiting);
-        self.total(now).requests.max(reported)
+        self.total().requests.max(reported)
     }
 
     /// Measured time to read one prompt token, in milliseconds.
@@ -141,22 +143,34 @@
     }
 }
 
+/// What one peer said last.
+#[derive(Debug)]
+struct PeerWord {
+    loads: Vec<(TargetKey, PeerLoad)>,
+    heard_at: Millis,
+}
+
 /// The loads of all targets.
 #[derive(Debug, Default)]
 pub struct LoadBook {
     targets: SlotMap<TargetKey, TargetLoad>,
-    keys: BTreeMap<Name, TargetKey>,
+    keys: HashMap<Name, TargetKey>,
+    peers: HashMap<Name, PeerWord>,
     pub health: HealthSettings,
-    peer_age_ms: Millis,
 }
 
 impl LoadBook {
-    /// Sets the time after which what a peer said no longer counts, in
-    /// milliseconds: a few of its messages.
-    pub fn set_peer_age(&mut self, age: Millis) {
-        self.peer_age_ms = age;
-        for load in self.targets.values_mut() {
-            load.peer_age_ms = age;
+    /// Drops what peers said more than `age` milliseconds ago: a few of their
+    /// messages.
+    pub fn forget_silent(&mut self, age: Millis, now: Millis) {
+        let silent: Vec<Name> = self
+            .peers
+            .iter()
+            .filter(|(_, word)| now.saturating_sub(word.heard_at) > age)
+            .map(|(peer, _)| Name::clone(peer))
+            .collect();
+        for peer in silent {
+            self.forget_peer(&peer);
         }
     }
 
@@ -168,7 +182,7 @@
             }
             self.targets.remove(key);
         }
-        let key = self.targets.insert(TargetLoad::new(entry, self.peer_age_ms));
+        let key = self.targets.insert(TargetLoad::new(entry));
         self.keys.insert(Name::clone(&entry.id), key);
         key
     }
@@ -194,10 +208,16 @@
     ) -> Option<OutstandingKey> {
         let load = self.targets.get_mut(key)?;
         load.health.note_sent(now);
-        let ahead_tokens = load.total(now).unread_tokens + u64::from(unread_tokens);
+        let ahead_tokens = load.total().unread_tokens + u64::from(unread_tokens);
+        let memory_tokens = shape.memory_tokens();
+        load.own.add(&PeerLoad {
+            requests: 1,
+            unread_tokens: u64::from(unread_tokens),
+            memory_tokens: u64::from(memory_tokens),
+        });
         Some(load.outstanding.insert(Outstanding {
             unread_tokens,
-            memory_tokens: shape.memory_tokens(),
+            memory_tokens,
             sent_at: now,
             ahead_tokens,
             answering: false,
@@ -208,7 +228,10 @@
     pub fn first_byte(&mut self, key: TargetKey, request: OutstandingKey, now: Millis) {
         let Some(load) = self.targets.get_mut(key) else { return };
         let Some(request) = load.outstanding.get_mut(request) else { return };
-        request.answering = true;
+        if std::mem::replace(&mut request.answering, true) {
+            return;
+        }
+        load.own.unread_tokens -= u64::from(request.unread_tokens);
         if request.ahead_tokens > 0 {
             let took = now.saturating_sub(request.sent_at) as f64;
             let sample =
@@ -230,7 +253,14 @@
     ) -> bool {
         let health = self.health;
         let Some(load) = self.targets.get_mut(key) else { return false };
-        load.outstanding.remove(request);
+        if let Some(ended) = load.outstanding.remove(request) {
+            let unread_tokens = if ended.answering { 0 } else { u64::from(ended.unread_tokens) };
+            load.own.take_off(&PeerLoad {
+                requests: 1,
+                unread_tokens,
+                memory_tokens: u64::from(ended.memory_tokens),
+            });
+        }
         outcome.is_some_and(|outcome| load.health.note(outcome, &health, now))
     }
 
@@ -243,20 +273,30 @@
 
     /// What a peer has under way, replacing what it said before.
     pub fn peer_said(&mut self, peer: &Name, loads: &[(Name, PeerLoad)], now: Millis) {
-        for load in self.targets.values_mut() {
-            load.peers.remove(peer);
-        }
+        self.forget_peer(peer);
+        let mut heard = Vec::with_capacity(loads.len());
         for (id, said) in loads {
             let Some(key) = self.keys.get(id) else { continue };
             if let Some(load) = self.targets.get_mut(*key) {
-                load.peers.insert(Name::clone(peer), (*said, now));
+                load.peers.add(said);
+                heard.push((*key, *said));
+            }
+        }
+        self.peers.insert(Name::clone(peer), PeerWord { loads: heard, heard_at: now });
+    }
+
+    fn forget_peer(&mut self, peer: &Name) {
+        let Some(word) = self.peers.remove(peer) else { return };
+        for (key, said) in word.loads {
+            if let Some(load) = self.targets.get_mut(key) {
+                load.peers.take_off(&said);
             }
         }
     }
 
     /// This router's own part at every target that has any.
     pub fn own_parts(&self) -> Vec<(Name, PeerLoad)> {
-        let loads = self.targets.values().map(|load| (Name::clone(&load.id), load.own()));
-        loads.filter(|(_, load)| !load.is_empty()).collect()
+        let loads = self.targets.values().filter(|load| !load.own.is_empty());
+        loads.map(|load| (Name::clone(&load.id), load.own)).collect()
     }
 }
--- a/crates/target/src/registry.rs
+++ b/crates/target/src/registry.rs
@@ -6,6 +6,7 @@
 //! source was away are kept until the targets had time to publish again.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use base::{Millis, Name};
 use serde::{Deserialize, Serialize};
@@ -55,7 +56,7 @@
 
 #[derive(Clone, Debug)]
 struct Record {
-    entry: Option<TargetEntry>,
+    entry: Option<Arc<TargetEntry>>,
     revision: u64,
     /// The entry was removed but is used until then.
     lapses_at: Option<Millis>,
@@ -66,8 +67,8 @@
 pub struct TargetRegistry {
     settings: RegistrySettings,
     records: BTreeMap<Name, Record>,
-    /// Incarnations that were said to drain.
-    draining: BTreeSet<(Name, u64)>,
+    /// Incarnations that were said to drain, by target.
+    draining: BTreeMap<Name, BTreeSet<u64>>,
     /// When the source last answered again after it had been away.
     source_back_at: Option<Millis>,
     source_away: bool,
@@ -122,16 +123,18 @@
             return self.remove(record.id, record.revision, before, now);
         };
         if entry.state == TargetState::Draining {
-            self.draining.insert((Name::clone(&entry.id), entry.incarnation));
+            let incarnations = self.draining.entry(Name::clone(&entry.id)).or_default();
+            incarnations.insert(entry.incarnation);
         }
         let change = match &before {
             None => RecordChange::Added,
             Some(before) if before.incarnation != entry.incarnation => RecordChange::Added,
-            Some(before) if *before == entry => RecordChange::Unchanged,
+            Some(before) if **before == entry => RecordChange::Unchanged,
             Some(_) if entry.state == TargetState::Draining => RecordChange::Draining,
             Some(_) => RecordChange::Updated,
         };
-        let record_now = Record { entry: Some(entry), revision: record.revision, lapses_at: None };
+        let entry = Some(Arc::new(entry));
+        let record_now = Record { entry, revision: record.revision, lapses_at: None };
         self.records.insert(record.id, record_now);
         change
     }
@@ -163,7 +166,7 @@
         &mut self,
         id: Name,
         revision: u64,
-        before: Option<TargetEntry>,
+        before: Option<Arc<TargetEntry>>,
         now: Millis,
     ) -> RecordChange {
         let may_return = self.may_return(now);
@@ -197,12 +200,13 @@
         let oldest = gone.min_by_key(|(_, record)| record.revision).map(|(id, _)| Name::clone(id));
         if let Some(id) = oldest {
             self.records.remove(&id);
-            self.draining.retain(|(name, _)| *name != id);
+            self.draining.remove(&id);
         }
     }
 
     fn drains(&self, entry: &TargetEntry) -> bool {
-        self.draining.contains(&(Name::clone(&entry.id), entry.incarnation))
+        let incarnations = self.draining.get(&entry.id);
+        incarnations.is_some_and(|incarnations| incarnations.contains(&entry.incarnation))
     }
 
     /// Targets of a service that may get new requests.
@@ -210,7 +214,7 @@
         &'a self,
         service: &'a str,
         now: Millis,
-    ) -> impl Iterator<Item = &'a TargetEntry> {
+    ) -> impl Iterator<Item = &'a Arc<TargetEntry>> {
         let records = self.records.values();
         records
             .filter(move |record| match record.lapses_at {
@@ -223,7 +227,7 @@
 
     /// Ids and incarnations of all targets that are known and not removed.
     pub fn known(&self) -> impl Iterator<Item = &TargetEntry> {
-        self.records.values().filter_map(|record| record.entry.as_ref())
+        self.records.values().filter_map(|record| record.entry.as_deref())
     }
 
     /// Records newer than a revision, to pass on to a peer.
@@ -232,7 +236,7 @@
         newer
             .map(|(id, record)| TargetRecord {
                 id: Name::clone(id),
-                entry: record.entry.clone().filter(|_| record.lapses_at.is_none()),
+                entry: record.entry.as_deref().filter(|_| record.lapses_at.is_none()).cloned(),
                 revision: record.revision,
             })
             .collect()
--- a/crates/target/tests/common/mod.rs
+++ b/crates/target/tests/common/mod.rs
@@ -1,4 +1,4 @@
-//! Entries that the tests of the registry share.
+//! Entries that the tests share.
 
 use std::net::SocketAddr;
 
