feat: engines' backlogs drain, follow answers; small parts have several homes

Ruled out: fresher messages between routers.

What was sent to a target is a backlog that drains at its measured rate; peers say how much they sent in all. A first byte says that all before it was read, a request without one that nothing behind it was. Homes are left at 0.7 of the aim.

--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -245,8 +245,13 @@
     let context = &worker.context;
     let entry = placement.entry;
     let shape = call.routed.shape();
-    let request =
-        context.loads().begin(placement.key, shape, placement.unread_tokens, context.now());
+    let request = context.loads().begin(
+        placement.key,
+        shape,
+        placement.unread_tokens,
+        placement.overhead_ms,
+        context.now(),
+    );
     let outstanding = Outstanding { worker: Rc::clone(worker), entry, key: placement.key, request };
     let mut reuse = match call.routed.route.kind {
         CallKind::NonIdempotent => Reuse::Never,
--- a/crates/target/src/choice.rs
+++ b/crates/target/src/choice.rs
@@ -3,9 +3,11 @@
 //! Load pattern: requests share long prompt parts, many more parts than one
 //! engine can keep, and every router chooses by late knowledge. Each part has
 //! home targets in an order given by rendezvous hashing, so routers agree
-//! without asking. A request goes to the first home that is expected to answer
-//! in time: reading a part anew at another target takes work from everybody, so
-//! it is not enough that another one would be a little faster.
+//! without asking. A large part has one home, a small one several, of which the
+//! request takes the one that is expected to answer first. It stays at its homes
+//! as long as one is expected to answer in time: reading a part anew takes work
+//! from everybody, so it is not enough that another target would be a little
+//! faster.
 
 use std::cmp::Ordering;
 use std::collections::BinaryHeap;
@@ -69,8 +71,14 @@
     /// Share of the time that callers aim for up to which a request stays at a
     /// home: expectations are off by about a half.
     pub home_until: f64,
-    /// Probability that the first and second home keep a shared part.
+    /// Probability that a home keeps a shared part, and that the target after
+    /// the homes does.
     pub kept_at: [f64; 2],
+    /// Tokens up to which a shared part is kept at several homes, all of them
+    /// together: what is kept twice takes memory from others.
+    pub home_tokens: u32,
+    /// Most homes of one part.
+    pub most_homes: usize,
     /// Cost of crossing failure domains, in milliseconds.
     pub crossing_ms: f64,
 }
@@ -81,13 +89,31 @@
             overhead_ms: 60.0,
             memory_share: 0.8,
             slot_share: 1.0,
-            home_until: 1.0,
+            home_until: 0.7,
             kept_at: [0.95, 0.4],
+            home_tokens: 2_000,
+            most_homes: 3,
             crossing_ms: 3.0,
         }
     }
 }
 
+impl ChoiceSettings {
+    /// Homes of a part of so many tokens.
+    fn homes(&self, tokens: u32) -> usize {
+        let homes = self.home_tokens / tokens.max(1);
+        (homes as usize).clamp(1, self.most_homes)
+    }
+
+    /// Probability that a part with so many homes is kept at the home of a rank.
+    fn kept(&self, rank: usize, homes: usize) -> f64 {
+        if rank < homes {
+            return self.kept_at[0];
+        }
+        if rank == homes { self.kept_at[1] } else { 0.0 }
+    }
+}
+
 /// A request to place, with what its service and route say.
 #[derive(Clone, Copy, Debug)]
 pub struct ChoiceQuestion<'a> {
@@ -111,6 +137,8 @@
     pub unread_tokens: u32,
     /// Expected time to the first byte of the answer, in milliseconds.
     pub expected_ms: f64,
+    /// The part of it that is not for reading, in milliseconds.
+    pub overhead_ms: f64,
     /// Place in the order of the request's homes, from 0; none without a home.
     pub home_rank: Option<usize>,
     /// Expected time behind requests that are at the target already, in
@@ -146,6 +174,7 @@
         return Err(RefusedChoice::NoTarget);
     }
     let home_until_ms = question.aim_ms as f64 * settings.home_until;
+    let homes = settings.homes(question.shape.shared_tokens());
     let mut best: Option<Placement> = None;
     let mut least_wait_ms = f64::MAX;
     let mut rank = 0;
@@ -153,7 +182,8 @@
         let Some(load) = book.get(key) else { continue };
         let home_rank = home_part.map(|_| rank);
         rank += 1;
-        let expectation = expect(load, entry, question, home_rank, settings, now);
+        let kept = home_rank.map_or(0.0, |rank| settings.kept(rank, homes));
+        let expectation = expect(load, entry, question, kept, settings, now);
         if expectation.is_full {
             least_wait_ms = least_wait_ms.min(expectation.ms);
             continue;
@@ -164,12 +194,14 @@
                 entry: Arc::clone(entry),
                 unread_tokens: expectation.unread_tokens as u32,
                 expected_ms: expectation.ms,
+                overhead_ms: expectation.overhead_ms,
                 home_rank,
                 waiting_ms: expectation.waiting_ms,
                 occupancy: expectation.occupancy,
             });
         }
-        if home_rank.is_some() && expectation.ms <= home_until_ms {
+        let is_good = best.as_ref().is_some_and(|best| best.expected_ms <= home_until_ms);
+        if home_part.is_some() && rank >= homes && is_good {
             break;
         }
     }
@@ -228,6 +260,7 @@
 
 struct Expectation {
     ms: f64,
+    overhead_ms: f64,
     unread_tokens: f64,
     waiting_ms: f64,
     occupancy: f64,
@@ -238,16 +271,15 @@
     load: &TargetLoad,
     entry: &TargetEntry,
     question: &ChoiceQuestion<'_>,
-    home_rank: Option<usize>,
+    kept: f64,
     settings: &ChoiceSettings,
     now: Millis,
 ) -> Expectation {
     let shape = question.shape;
     let total = load.total();
-    let kept = home_rank.and_then(|rank| settings.kept_at.get(rank)).copied().unwrap_or(0.0);
     let kept_tokens = kept * f64::from(shape.shared_tokens());
     let unread_tokens = (f64::from(shape.prompt_tokens) - kept_tokens).max(0.0);
-    let waiting_ms = total.unread_tokens as f64 * load.read_ms();
+    let waiting_ms = load.unread_tokens(now) * load.read_ms();
     let reading_ms = waiting_ms + unread_tokens * load.read_ms();
     let requests = load.requests(now);
     let is_near = &*entry.failure_domain == question.near;
@@ -257,6 +289,7 @@
     let room = question.engine_memory.map(|tokens| tokens as f64 * settings.memory_share);
     let is_full = f64::from(requests) >= f64::from(entry.slots) * settings.slot_share
         || room.is_some_and(|room| memory as f64 > room && total.requests > 0);
-    let ms = settings.overhead_ms * (1.0 + occupancy) + reading_ms + crossing_ms;
-    Expectation { ms, unread_tokens, waiting_ms, occupancy, is_full }
+    let overhead_ms = settings.overhead_ms * (1.0 + occupancy) + crossing_ms;
+    let ms = overhead_ms + reading_ms;
+    Expectation { ms, overhead_ms, unread_tokens, waiting_ms, occupancy, is_full }
 }
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -1,6 +1,7 @@
 //! Which targets there are, how loaded and how healthy they are, and which one
 //! a request goes to. Pure; no network.
 
+mod backlog;
 mod choice;
 mod entry;
 mod health;
--- a/crates/target/src/load.rs
+++ b/crates/target/src/load.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::{SlotMap, new_key_type};
 
+use crate::backlog::ReadBacklog;
 use crate::choice::CallShape;
 use crate::entry::TargetEntry;
 use crate::health::{HealthSettings, Outcome, TargetHealth};
@@ -42,7 +43,9 @@
     memory_tokens: u32,
     sent_at: Millis,
     /// Tokens ahead of it when it was sent, with its own.
-    ahead_tokens: u64,
+    ahead_tokens: f64,
+    /// Expected time to its first byte beyond reading, in milliseconds.
+    overhead_ms: f64,
     answering: bool,
 }
 
@@ -58,9 +61,11 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PeerLoad {
     pub requests: u32,
-    /// Prompt tokens still to be read.
+    /// Prompt tokens of requests that are not answered yet.
     pub unread_tokens: u64,
     pub memory_tokens: u64,
+    /// Prompt tokens to read that were sent to it since the router met it.
+    pub sent_tokens: u64,
 }
 
 impl PeerLoad {
@@ -68,12 +73,14 @@
         self.requests += other.requests;
         self.unread_tokens += other.unread_tokens;
         self.memory_tokens += other.memory_tokens;
+        self.sent_tokens = self.sent_tokens.wrapping_add(other.sent_tokens);
     }
 
     fn take_off(&mut self, other: &Self) {
         self.requests -= other.requests;
         self.unread_tokens -= other.unread_tokens;
         self.memory_tokens -= other.memory_tokens;
+        self.sent_tokens = self.sent_tokens.wrapping_sub(other.sent_tokens);
     }
 
     pub fn is_empty(&self) -> bool {
@@ -95,6 +102,7 @@
     /// Sum over what the peers said.
     peers: PeerLoad,
     report: Option<(LoadReport, Millis)>,
+    backlog: ReadBacklog,
     read_ms: f64,
 }
 
@@ -109,6 +117,7 @@
             own: PeerLoad::default(),
             peers: PeerLoad::default(),
             report: None,
+            backlog: ReadBacklog::default(),
             read_ms: FIRST_READ_MS,
         }
     }
@@ -137,6 +146,15 @@
         self.total().requests.max(reported)
     }
 
+    /// Prompt tokens that it has still to read: no more than those of requests
+    /// without an answer.
+    pub fn unread_tokens(&self, now: Millis) -> f64 {
+        let unanswered = self.own.unread_tokens + self.peers.unread_tokens;
+        let waiting = self.outstanding.values().filter(|request| !request.answering);
+        let oldest = waiting.map(|request| request.sent_at).min();
+        self.backlog.left(self.read_ms, oldest, now).min(unanswered as f64)
+    }
+
     /// Measured time to read one prompt token, in milliseconds.
     pub fn read_ms(&self) -> f64 {
         self.read_ms
@@ -204,22 +222,26 @@
         key: TargetKey,
         shape: &CallShape,
         unread_tokens: u32,
+        overhead_ms: f64,
         now: Millis,
     ) -> Option<OutstandingKey> {
         let load = self.targets.get_mut(key)?;
         load.health.note_sent(now);
-        let ahead_tokens = load.total().unread_tokens + u64::from(unread_tokens);
+        let ahead_tokens = load.unread_tokens(now) + f64::from(unread_tokens);
+        load.backlog.add(u64::from(unread_tokens), now, load.read_ms, now);
         let memory_tokens = shape.memory_tokens();
         load.own.add(&PeerLoad {
             requests: 1,
             unread_tokens: u64::from(unread_tokens),
             memory_tokens: u64::from(memory_tokens),
+            sent_tokens: u64::from(unread_tokens),
         });
         Some(load.outstanding.insert(Outstanding {
             unread_tokens,
             memory_tokens,
             sent_at: now,
             ahead_tokens,
+            overhead_ms,
             answering: false,
         }))
     }
@@ -232,12 +254,12 @@
             return;
         }
         load.own.unread_tokens -= u64::from(request.unread_tokens);
-        if request.ahead_tokens > 0 {
-            let took = now.saturating_sub(request.sent_at) as f64;
-            let sample =
-                (took / request.ahead_tokens as f64).clamp(READ_MS_RANGE.0, READ_MS_RANGE.1);
+        load.backlog.read_until(request.sent_at, now);
+        if request.ahead_tokens > 0.0 {
+            let took = now.saturating_sub(request.sent_at) as f64 - request.overhead_ms;
+            let sample = (took / request.ahead_tokens).clamp(READ_MS_RANGE.0, READ_MS_RANGE.1);
             // Long waits tell the reading time; short ones are mostly overhead.
-            let weight = NEWEST_WEIGHT * (request.ahead_tokens as f64 / 10_000.0).min(1.0);
+            let weight = NEWEST_WEIGHT * (request.ahead_tokens / 10_000.0).min(1.0);
             load.read_ms += (sample - load.read_ms) * weight;
         }
     }
@@ -259,6 +281,7 @@
                 requests: 1,
                 unread_tokens,
                 memory_tokens: u64::from(ended.memory_tokens),
+                sent_tokens: 0,
             });
         }
         outcome.is_some_and(|outcome| load.health.note(outcome, &health, now))
@@ -273,25 +296,39 @@
 
     /// What a peer has under way, replacing what it said before.
     pub fn peer_said(&mut self, peer: &Name, loads: &[(Name, PeerLoad)], now: Millis) {
-        self.forget_peer(peer);
+        let (before, sent_at) = match self.forget_peer(peer) {
+            // Sent at some time between the two messages.
+            Some(word) => (word.loads, now - now.saturating_sub(word.heard_at) / 2),
+            None => (Vec::new(), now),
+        };
         let mut heard = Vec::with_capacity(loads.len());
         for (id, said) in loads {
             let Some(key) = self.keys.get(id) else { continue };
-            if let Some(load) = self.targets.get_mut(*key) {
-                load.peers.add(said);
-                heard.push((*key, *said));
-            }
+            let Some(load) = self.targets.get_mut(*key) else { continue };
+            load.peers.add(said);
+            heard.push((*key, *said));
+            let earlier = before.iter().find(|(other, _)| other == key);
+            let newly_sent = match earlier {
+                Some((_, earlier)) if earlier.sent_tokens <= said.sent_tokens => {
+                    said.sent_tokens - earlier.sent_tokens
+                }
+                // Nothing was known of what it has under way there.
+                _ => said.unread_tokens,
+            };
+            load.backlog.add(newly_sent, sent_at, load.read_ms, now);
         }
         self.peers.insert(Name::clone(peer), PeerWord { loads: heard, heard_at: now });
     }
 
-    fn forget_peer(&mut self, peer: &Name) {
-        let Some(word) = self.peers.remove(peer) else { return };
-        for (key, said) in word.loads {
-            if let Some(load) = self.targets.get_mut(key) {
-                load.peers.take_off(&said);
+    /// Takes a peer's part off the sums; returns what it was.
+    fn forget_peer(&mut self, peer: &Name) -> Option<PeerWord> {
+        let word = self.peers.remove(peer)?;
+        for (key, said) in &word.loads {
+            if let Some(load) = self.targets.get_mut(*key) {
+                load.peers.take_off(said);
             }
         }
+        Some(word)
     }
 
     /// This router's own part at every target that has any.
--- a/crates/target/tests/homes.rs
+++ b/crates/target/tests/homes.rs
@@ -3,18 +3,23 @@
 
 mod common;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use base::Name;
 use common::entry;
 use target::{
-    CallShape, ChoiceQuestion, ChoiceSettings, LoadBook, PromptPart, TargetEntry, TargetState,
-    choose,
+    CallShape, ChoiceQuestion, ChoiceSettings, LoadBook, PeerLoad, PromptPart, TargetEntry,
+    TargetState, choose,
 };
 
 const TARGETS: u64 = 12;
 const PARTS: u64 = 600;
+/// Tokens of a shared part that is kept at one home, and at several.
+const LARGE_PART: u32 = 5_000;
+const SMALL_PART: u32 = 200;
+/// Tokens of a request's own part.
+const OWN_PART: u32 = 2_000;
 
 fn targets(count: u64) -> Vec<Arc<TargetEntry>> {
     (0..count)
@@ -24,10 +29,16 @@
 
 /// Where an idle fleet sends a prompt that begins with the shared part.
 fn home_of(part: u64, entries: &[Arc<TargetEntry>]) -> Name {
+    place(&mut LoadBook::default(), part, LARGE_PART, entries)
+}
+
+/// Where a fleet under load sends a prompt that begins with a shared part of so
+/// many tokens.
+fn place(book: &mut LoadBook, part: u64, tokens: u32, entries: &[Arc<TargetEntry>]) -> Name {
     let shape = CallShape {
-        prompt_tokens: 7_000,
+        prompt_tokens: tokens + OWN_PART,
         output_tokens: 100,
-        parts: vec![PromptPart { id: part, tokens: 5_000 }, PromptPart { id: 1, tokens: 2_000 }],
+        parts: vec![PromptPart { id: part, tokens }, PromptPart { id: 1, tokens: OWN_PART }],
     };
     let question = ChoiceQuestion {
         shape: &shape,
@@ -36,8 +47,7 @@
         tried: &[],
         near: "a",
     };
-    let mut book = LoadBook::default();
-    let placed = choose(&mut book, entries.iter(), &question, &ChoiceSettings::default(), 0);
+    let placed = choose(book, entries.iter(), &question, &ChoiceSettings::default(), 0);
     Name::clone(&placed.expect("an idle target takes it").entry.id)
 }
 
@@ -68,3 +78,51 @@
         }
     }
 }
+
+/// A peer sends a prompt of so many tokens to a target.
+fn load(book: &mut LoadBook, entries: &[Arc<TargetEntry>], id: &Name, tokens: u64) {
+    for entry in entries {
+        book.key(entry);
+    }
+    let load =
+        PeerLoad { requests: 1, unread_tokens: tokens, memory_tokens: tokens, sent_tokens: tokens };
+    book.peer_said(&"router-2".into(), &[(Name::clone(id), load)], 0);
+}
+
+#[test]
+fn small_parts_leave_a_busy_home_and_large_ones_stay() {
+    let entries = targets(TARGETS);
+    for part in 0..PARTS {
+        let home = home_of(part, &entries);
+        let mut book = LoadBook::default();
+        // Still in time, but others would answer sooner.
+        load(&mut book, &entries, &home, 10_000);
+        assert_eq!(place(&mut book, part, LARGE_PART, &entries), home);
+        assert_ne!(place(&mut book, part, SMALL_PART, &entries), home);
+    }
+}
+
+#[test]
+fn small_parts_are_kept_at_few_targets() {
+    let entries = targets(TARGETS);
+    let mut book = LoadBook::default();
+    let mut homes = BTreeSet::new();
+    // Three at each of three homes; an entry has four slots.
+    for _ in 0..9 {
+        let home = place(&mut book, 7, SMALL_PART, &entries);
+        let key = book.key(entries.iter().find(|entry| entry.id == home).expect("it is listed"));
+        let shape = CallShape { prompt_tokens: 500, ..CallShape::default() };
+        book.begin(key, &shape, 500, 0.0, 0);
+        homes.insert(home);
+    }
+    assert_eq!(homes.len(), ChoiceSettings::default().most_homes, "{homes:?}");
+}
+
+#[test]
+fn a_part_whose_home_would_be_late_goes_elsewhere() {
+    let entries = targets(TARGETS);
+    let home = home_of(1, &entries);
+    let mut book = LoadBook::default();
+    load(&mut book, &entries, &home, 60_000);
+    assert_ne!(place(&mut book, 1, LARGE_PART, &entries), home);
+}
--- a/crates/target/tests/load_sums.rs
+++ b/crates/target/tests/load_sums.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 use base::{Millis, Name};
 use common::entry;
@@ -55,12 +55,15 @@
 #[derive(Debug, Default)]
 struct Oracle {
     sent: Vec<Sent>,
+    /// Tokens sent to each target since the router met it.
+    sent_tokens: HashMap<TargetKey, u64>,
     words: BTreeMap<usize, Word>,
 }
 
 impl Oracle {
     fn total(&self, key: TargetKey) -> PeerLoad {
-        let mut sum = PeerLoad::default();
+        let sent_tokens = self.sent_tokens.get(&key).copied().unwrap_or(0);
+        let mut sum = PeerLoad { sent_tokens, ..PeerLoad::default() };
         for sent in self.sent.iter().filter(|sent| sent.book_key == key) {
             sum.requests += 1;
             sum.memory_tokens += sent.memory;
@@ -101,7 +104,8 @@
             match step {
                 Step::Begin { target, unread, memory } => {
                     let shape = CallShape { prompt_tokens: memory, ..CallShape::default() };
-                    let key = book.begin(keys[target], &shape, unread, now);
+                    let key = book.begin(keys[target], &shape, unread, 0.0, now);
+                    *oracle.sent_tokens.entry(keys[target]).or_default() += u64::from(unread);
                     oracle.sent.push(Sent {
                         target,
                         book_key: keys[target],
@@ -127,7 +131,7 @@
                         .into_iter()
                         .map(|(target, requests, unread_tokens)| {
                             let memory_tokens = unread_tokens * 2;
-                            (target, PeerLoad { requests, unread_tokens, memory_tokens })
+                            (target, PeerLoad { requests, unread_tokens, memory_tokens, sent_tokens: 0 })
                         })
                         .collect();
                     let named: Vec<(Name, PeerLoad)> =
