feat: plain targets are not full by old counts

Three targets with six slots work 17 ms on a request; what a gateway knows of them is up to a second old, so one peak of a target shut it out for a second.

Ruled out: real overload; 342 requests a second take 5 of 18 slots.

Change: a plain target counts as full at four requests for each slot. It queues or sheds by itself and says when it did not run a request.

Test: target/tests/plain.rs; the first case failed with one request a slot.

--- a/crates/target/src/choice.rs
+++ b/crates/target/src/choice.rs
@@ -68,6 +68,10 @@
     pub memory_share: f64,
     /// Share of an engine's slots that may be taken: reports are late.
     pub slot_share: f64,
+    /// Requests for each slot of a plain target up to which it gets more: it
+    /// queues or sheds by itself and says that it did not run them, and what is
+    /// known of its load is older than a request takes.
+    pub queue_share: f64,
     /// Share of the time that callers aim for up to which a request stays at a
     /// home: expectations are off by about a half.
     pub home_until: f64,
@@ -89,6 +93,7 @@
             overhead_ms: 60.0,
             memory_share: 0.8,
             slot_share: 1.0,
+            queue_share: 4.0,
             home_until: 0.7,
             kept_at: [0.95, 0.4],
             home_tokens: 2_000,
@@ -287,7 +292,9 @@
     let occupancy = f64::from(requests) / f64::from(entry.slots.max(1));
     let memory = total.memory_tokens + u64::from(shape.memory_tokens());
     let room = question.engine_memory.map(|tokens| tokens as f64 * settings.memory_share);
-    let is_full = f64::from(requests) >= f64::from(entry.slots) * settings.slot_share
+    let most_share =
+        if question.engine_memory.is_some() { settings.slot_share } else { settings.queue_share };
+    let is_full = f64::from(requests) >= f64::from(entry.slots) * most_share
         || room.is_some_and(|room| memory as f64 > room && total.requests > 0);
     let overhead_ms = settings.overhead_ms * (1.0 + occupancy) + crossing_ms;
     let ms = overhead_ms + reading_ms;
--- /dev/null
+++ b/crates/target/tests/plain.rs
@@ -0,0 +1,62 @@
+//! Plain services beside the engines. Load pattern: many routers, few targets
+//! with few slots, and requests that take less time than a router's knowledge
+//! of the load is old.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::entry;
+use target::{
+    CallShape, ChoiceQuestion, ChoiceSettings, LoadBook, LoadReport, Placement, RefusedChoice,
+    TargetEntry, TargetState, choose,
+};
+
+fn targets() -> Vec<Arc<TargetEntry>> {
+    let ids = ["i-1", "i-2", "i-3"];
+    ids.iter().map(|id| Arc::new(entry(id, 1, TargetState::Serving))).collect()
+}
+
+fn place(
+    book: &mut LoadBook,
+    entries: &[Arc<TargetEntry>],
+    engine_memory: Option<u64>,
+) -> Result<Placement, RefusedChoice> {
+    let shape = CallShape::default();
+    let question =
+        ChoiceQuestion { shape: &shape, aim_ms: 120, engine_memory, tried: &[], near: "a" };
+    choose(book, entries.iter(), &question, &ChoiceSettings::default(), 1_000)
+}
+
+/// Each target once said that it has so many requests, 900 ms ago.
+fn loaded(entries: &[Arc<TargetEntry>], running: u32) -> LoadBook {
+    let mut book = LoadBook::default();
+    for entry in entries {
+        let key = book.key(entry);
+        book.reported(key, LoadReport { running, waiting: 0, slots: entry.slots }, 100);
+    }
+    book
+}
+
+#[test]
+fn a_short_peak_of_all_plain_targets_refuses_nobody() {
+    let entries = targets();
+    let mut book = loaded(&entries, 5);
+    assert!(place(&mut book, &entries, None).is_ok());
+}
+
+#[test]
+fn engines_with_all_slots_taken_get_no_more() {
+    let entries = targets();
+    let mut book = loaded(&entries, 5);
+    let placed = place(&mut book, &entries, Some(444_000));
+    assert!(matches!(placed, Err(RefusedChoice::Full { .. })), "{placed:?}");
+}
+
+#[test]
+fn plain_targets_with_long_queues_get_no_more() {
+    let entries = targets();
+    let mut book = loaded(&entries, 17);
+    let placed = place(&mut book, &entries, None);
+    assert!(matches!(placed, Err(RefusedChoice::Full { .. })), "{placed:?}");
+}
