fix: kept connections stay within the cap of a service

Cause: each gateway kept up to 8 connections to each target. 90 gateways keep 720, and the targets of the grown files take 600 and 670 from all callers together; they reset what comes beyond.

Ruled out: requests in use, which slots bound far below the caps.

Change: the cap, less what requests may use, is shared evenly by the live gateways. The configuration's cap was read and not used before.

--- a/crates/gateway/src/beats.rs
+++ b/crates/gateway/src/beats.rs
@@ -55,6 +55,7 @@
             tracing::info!(unit = "beats", event = "peer_lost", %peer);
         }
         let routers = context.members().live(now).count() + 1;
+        context.set_routers(routers);
         context.repeats().set_fleet(routers, now);
         let live_ms = context.members().live_ms();
         context.shares().set_peer_age(live_ms);
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -52,6 +52,8 @@
     /// Callers had time to go elsewhere; new requests are refused.
     is_closed: AtomicBool,
     open_calls: AtomicUsize,
+    /// Routers that are live, this one included.
+    routers: AtomicUsize,
 }
 
 /// Ports are the same on all routers, so the port for beats is the own one.
@@ -110,6 +112,7 @@
             is_draining: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
             open_calls: AtomicUsize::new(0),
+            routers: AtomicUsize::new(1),
         })
     }
 
@@ -176,6 +179,14 @@
         self.is_closed.load(Ordering::Relaxed)
     }
 
+    pub(crate) fn set_routers(&self, routers: usize) {
+        self.routers.store(routers, Ordering::Relaxed);
+    }
+
+    pub(crate) fn routers(&self) -> usize {
+        self.routers.load(Ordering::Relaxed)
+    }
+
     pub(crate) fn open_calls(&self) -> usize {
         self.open_calls.load(Ordering::Relaxed)
     }
--- a/crates/outbound/src/pool.rs
+++ b/crates/outbound/src/pool.rs
@@ -31,6 +31,17 @@
     }
 }
 
+/// Connections that one router may keep for a peer.
+///
+/// Load pattern: many routers keep connections to few targets, and a target
+/// resets what comes beyond its cap, requests included. What is in use by all
+/// routers together, `in_use` at most, comes first; the rest of the cap is
+/// shared evenly.
+pub fn kept_bound(cap: u32, in_use: u32, routers: usize) -> usize {
+    let rest = cap.saturating_sub(in_use) as usize;
+    rest / routers.max(1)
+}
+
 /// What tells the peers of a pool apart.
 pub trait PoolKey: Clone + Eq + Hash {}
 impl<K: Clone + Eq + Hash> PoolKey for K {}
@@ -67,13 +78,14 @@
 
     /// Keeps a connection whose answer was read to its end.
     ///
-    /// `stated` is the idle timeout that the peer stated, if any.
-    pub fn keep(&mut self, key: K, connection: Connection, stated: Option<Duration>) {
+    /// `stated` is the idle timeout that the peer stated, if any; `most` the
+    /// connections that may be kept for it, beside [`PoolSettings::each`].
+    pub fn keep(&mut self, key: K, connection: Connection, stated: Option<Duration>, most: usize) {
         let settings = self.settings;
         let usable = stated.map_or(settings.unstated, |time| time.saturating_sub(settings.margin));
         let until = Instant::now() + usable.min(settings.longest);
         let kept = self.kept.entry(key).or_default();
-        if kept.len() < settings.each {
+        if kept.len() < settings.each.min(most) {
             kept.push(KeptConnection { connection, until });
         }
     }
