fix: the configured limit of request heads is kept

Cause: only the HTTP library's own limit held for request line and headers; the configuration's was read and not used.

Ruled out: the library's limit as the place, since it is set before a configuration is known.

Change: heads over the limit are refused with 431 before the route is looked up.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -83,16 +83,29 @@
         self.head.id.as_deref().unwrap_or("-")
     }
 
+    /// Bytes of the request line and the headers, as they are written at least.
+    fn head_bytes(&self) -> usize {
+        // Two spaces, the version and the line's end; a colon, a space and the
+        // line's end.
+        let line = self.method.as_str().len() + self.target_uri.len() + 12;
+        let headers = self.headers.iter();
+        line + headers.map(|(name, value)| name.as_str().len() + value.len() + 4).sum::<usize>()
+    }
+
     /// Finds route, service and client account.
     ///
     /// # Errors
-    /// There is no configuration, no route, or no account with the credential.
+    /// There is no configuration, no route, no account with the credential, or
+    /// the head is too large.
     pub(crate) fn route(self, context: &GatewayContext) -> Result<RoutedCall, Refusal> {
         let refuse = |cause| Err(Refusal::new(cause));
         let Some(table) = context.table() else {
             let cause = RefusalCause::NoConfiguration;
             return Err(Refusal::retry_after(cause, CONFIGURATION_WAIT_MS));
         };
+        if self.head_bytes() > table.limits.head_bytes {
+            return refuse(RefusalCause::HeadTooLarge);
+        }
         let path = &self.target_uri[..self.path_len];
         let Some(route) = table.route(&self.host, path).cloned() else {
             return refuse(RefusalCause::NoRoute);
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -17,6 +17,8 @@
     NoRoute,
     BadCredential,
     BadRequest,
+    /// The request line and headers are larger than configured.
+    HeadTooLarge,
     BodyTooLarge,
     BodyTooSlow,
     /// The client account is over its share and the targets are busy.
@@ -59,6 +61,7 @@
             Cause::NoRoute => StatusCode::NOT_FOUND,
             Cause::BadCredential => StatusCode::UNAUTHORIZED,
             Cause::BadRequest => StatusCode::BAD_REQUEST,
+            Cause::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Cause::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Cause::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Cause::OverShare => StatusCode::TOO_MANY_REQUESTS,
