fix: idle plain targets are taken in a drawn order

Targets of a plain service without load all weighed the same, and the one with the greatest name won every time, at every gateway.

Change: the order of equal targets is drawn by the request's id.

--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -222,6 +222,7 @@
         shape: routed.shape(),
         aim_ms: routed.route.target_latency_ms,
         engine_memory: routed.engine_memory(),
+        draw: base::stable_hash(&[routed.id()]),
         tried,
         near: &context.settings.failure_domain,
     };
--- a/crates/target/src/choice.rs
+++ b/crates/target/src/choice.rs
@@ -127,6 +127,9 @@
     pub aim_ms: u64,
     /// An engine's memory in tokens; none for a plain service.
     pub engine_memory: Option<u64>,
+    /// A number that is spread evenly over requests: targets without a home and
+    /// with the same expectation are taken in an order drawn by it.
+    pub draw: u64,
     /// Targets that this request was sent to before.
     pub tried: &'a [Name],
     /// Failure domain of this router.
@@ -213,8 +216,8 @@
     best.ok_or(RefusedChoice::Full { wait_ms: least_wait_ms.min(1e6) as Millis })
 }
 
-/// A target with its weight for a request; the greatest is the first home.
-/// Without a home all weigh the same.
+/// A target with its weight for a request; the greatest is the first home, or
+/// the first in the order that is drawn for a request without a home.
 struct RankedTarget<'a> {
     weight: u64,
     key: TargetKey,
@@ -255,7 +258,7 @@
     for entry in candidates.filter(|entry| !question.tried.contains(&entry.id)) {
         let key = book.key(entry);
         let Some(load) = book.get(key) else { continue };
-        let weight = home_part.map_or(0, |part| mix_hashes(load.hash, part));
+        let weight = mix_hashes(load.hash, home_part.unwrap_or(question.draw));
         let target = RankedTarget { weight, key, entry };
         let admitted = load.health.admits(&book.health, now);
         if admitted { usable.push(target) } else { set_aside.push(target) }
--- a/crates/target/tests/homes.rs
+++ b/crates/target/tests/homes.rs
@@ -44,6 +44,7 @@
         shape: &shape,
         aim_ms: 600,
         engine_memory: Some(444_000),
+        draw: 0,
         tried: &[],
         near: "a",
     };
--- a/crates/target/tests/plain.rs
+++ b/crates/target/tests/plain.rs
@@ -21,10 +21,11 @@
     book: &mut LoadBook,
     entries: &[Arc<TargetEntry>],
     engine_memory: Option<u64>,
+    draw: u64,
 ) -> Result<Placement, RefusedChoice> {
     let shape = CallShape::default();
     let question =
-        ChoiceQuestion { shape: &shape, aim_ms: 120, engine_memory, tried: &[], near: "a" };
+        ChoiceQuestion { shape: &shape, aim_ms: 120, engine_memory, draw, tried: &[], near: "a" };
     choose(book, entries.iter(), &question, &ChoiceSettings::default(), 1_000)
 }
 
@@ -42,14 +43,14 @@
 fn a_short_peak_of_all_plain_targets_refuses_nobody() {
     let entries = targets();
     let mut book = loaded(&entries, 5);
-    assert!(place(&mut book, &entries, None).is_ok());
+    assert!(place(&mut book, &entries, None, 0).is_ok());
 }
 
 #[test]
 fn engines_with_all_slots_taken_get_no_more() {
     let entries = targets();
     let mut book = loaded(&entries, 5);
-    let placed = place(&mut book, &entries, Some(444_000));
+    let placed = place(&mut book, &entries, Some(444_000), 0);
     assert!(matches!(placed, Err(RefusedChoice::Full { .. })), "{placed:?}");
 }
 
@@ -57,6 +58,22 @@
 fn plain_targets_with_long_queues_get_no_more() {
     let entries = targets();
     let mut book = loaded(&entries, 17);
-    let placed = place(&mut book, &entries, None);
+    let placed = place(&mut book, &entries, None, 0);
     assert!(matches!(placed, Err(RefusedChoice::Full { .. })), "{placed:?}");
 }
+
+/// Load pattern: many routers, each with few requests and nothing heard of the
+/// others' yet.
+#[test]
+fn idle_targets_are_used_evenly() {
+    let entries = targets();
+    let mut counts = [0; 3];
+    for request in 0..300 {
+        let mut book = LoadBook::default();
+        let draw = base::stable_hash(&[&format!("request-{request}")]);
+        let placed = place(&mut book, &entries, None, draw).expect("all are idle");
+        let at = entries.iter().position(|entry| entry.id == placed.entry.id);
+        counts[at.expect("it is listed")] += 1;
+    }
+    assert!(counts.iter().all(|count| (60..140).contains(count)), "{counts:?}");
+}
