fix: wrong values of admission and choice are errors at start

Cause: only `bounds` was checked. `choice.most_homes` of 0 would end the process at the first request, and a negative share would quietly refuse or admit all. Found by reading.

Ruled out: unknown keys and wrong types, which the decoder refuses.

Change: ranges of all values of both sections, each error with its key.

Before and after: gateway/tests/settings.rs failed at `admission.headroom`, then passed.

--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -125,6 +125,52 @@
         ] {
             anyhow::ensure!(value >= 0.0, "step=check_settings: {key} is {value}, negative");
         }
+        self.check_admission()?;
+        self.check_choice()
+    }
+
+    fn check_admission(&self) -> anyhow::Result<()> {
+        let admission = &self.admission;
+        for (key, value) in [
+            ("admission.room_share", admission.room_share),
+            ("admission.room_until", admission.room_until),
+            ("admission.return_share", admission.return_share),
+        ] {
+            anyhow::ensure!(value >= 0.0, "step=check_settings: {key} is {value}, negative");
+        }
+        let headroom = admission.headroom;
+        anyhow::ensure!(
+            headroom > 0.0,
+            "step=check_settings: admission.headroom is {headroom}, not positive"
+        );
+        Ok(())
+    }
+
+    fn check_choice(&self) -> anyhow::Result<()> {
+        let choice = &self.choice;
+        for (key, value) in [
+            ("choice.overhead_ms", choice.overhead_ms),
+            ("choice.crossing_ms", choice.crossing_ms),
+            ("choice.home_until", choice.home_until),
+        ] {
+            anyhow::ensure!(value >= 0.0, "step=check_settings: {key} is {value}, negative");
+        }
+        for (key, value) in [
+            ("choice.memory_share", choice.memory_share),
+            ("choice.slot_share", choice.slot_share),
+            ("choice.queue_share", choice.queue_share),
+        ] {
+            anyhow::ensure!(value > 0.0, "step=check_settings: {key} is {value}, not positive");
+        }
+        for kept in choice.kept_at {
+            let is_share = (0.0..=1.0).contains(&kept);
+            anyhow::ensure!(is_share, "step=check_settings: choice.kept_at has {kept}, not 0 to 1");
+        }
+        let most_homes = choice.most_homes;
+        anyhow::ensure!(
+            most_homes > 0,
+            "step=check_settings: choice.most_homes is {most_homes}, not positive"
+        );
         Ok(())
     }
 }
--- /dev/null
+++ b/crates/gateway/tests/settings.rs
@@ -0,0 +1,51 @@
+//! Wrong values of settings are clear errors.
+
+use gateway::GatewaySettings;
+use serde_json::{Value, json};
+
+fn with(section: &str, key: &str, value: Value) -> anyhow::Result<()> {
+    let mut settings = json!({
+        "instance": "router-1",
+        "failure_domain": "a",
+        "listen": {
+            "callers": "127.0.0.1:1", "ready": "127.0.0.1:2", "addresses": "127.0.0.1:3",
+            "peers": "127.0.0.1:4", "beats": "127.0.0.1:5",
+        },
+        "seeds": [],
+        "source": "127.0.0.1:6",
+    });
+    settings[section] = json!({ key: value });
+    let settings: GatewaySettings = serde_json::from_value(settings)?;
+    settings.check()
+}
+
+#[test]
+fn usual_values_are_accepted() {
+    with("choice", "most_homes", json!(2)).unwrap();
+    // The baselines: by load alone, and by home alone.
+    with("choice", "home_until", json!(0.0)).unwrap();
+    with("choice", "home_until", json!(1000.0)).unwrap();
+}
+
+#[test]
+fn wrong_values_are_named_with_their_key() {
+    let wrong = [
+        ("bounds", "stop_s", json!(0.0)),
+        ("bounds", "repeat_ratio", json!(-0.1)),
+        ("admission", "headroom", json!(0.0)),
+        ("admission", "return_share", json!(-1.0)),
+        ("choice", "most_homes", json!(0)),
+        ("choice", "kept_at", json!([0.9, 1.1])),
+        ("choice", "queue_share", json!(0.0)),
+        ("choice", "overhead_ms", json!(-5.0)),
+    ];
+    for (section, key, value) in wrong {
+        let cause = with(section, key, value).expect_err(key).to_string();
+        assert!(cause.contains(&format!("{section}.{key}")), "{cause}");
+    }
+}
+
+#[test]
+fn unknown_keys_are_refused() {
+    assert!(with("choice", "home", json!(1)).is_err());
+}
