fix: the newest ended life of a peer stays remembered

Cause: the list of a peer's ended lives dropped the newest beyond four, so after five restarts a late message of the life before counted as a restart, and the peer was held for draining or away until its next message. Found by reading.

Ruled out: the count within one life, which has its own test.

Change: the oldest is dropped.

Before and after: `a_router_that_restarts_often_never_falls_back_to_its_last_life` failed at the sixth life, then passed.

--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -159,7 +159,9 @@
                 return Heard::Ignored;
             }
             peer.retired.push_back(peer.head.origin.incarnation);
-            peer.retired.truncate(RETIRED_LIVES);
+            if peer.retired.len() > RETIRED_LIVES {
+                peer.retired.pop_front();
+            }
             peer.head = head;
             peer.heard_at = now;
             peer.is_lost = false;
--- a/crates/mesh/tests/membership.rs
+++ b/crates/mesh/tests/membership.rs
@@ -133,6 +133,20 @@
     assert_eq!(table.hear(late, 20), Heard::Ignored);
 }
 
+#[test]
+fn a_router_that_restarts_often_never_falls_back_to_its_last_life() {
+    let mut table = MemberTable::new(origin(0, 1), address(0), &[], MemberSettings::default());
+    let mut other = MemberTable::new(origin(1, 1), address(1), &[], MemberSettings::default());
+    let first = Fleet::head(&mut other, 1, 1, 0);
+    table.hear(first, 0);
+    for life in 2..=10 {
+        let late = Fleet::head(&mut other, 1, life - 1, 0);
+        let new = Fleet::head(&mut other, 1, life, 0);
+        assert_eq!(table.hear(new, life * 1_000), Heard::Restarted);
+        assert_eq!(table.hear(late, life * 1_000 + 10), Heard::Ignored, "life {life}");
+    }
+}
+
 #[test]
 fn the_time_between_beats_grows_with_the_fleet() {
     let settings = MemberSettings { beats_per_second: 30, ..MemberSettings::default() };
