fix: absurd values of a peer are left out

Cause: sums over peers are kept as messages come since. A demand that is not a number, or infinite, could not be taken off again: all shares were NaN from then on. Loads with the largest numbers overflowed, which ends a debug build. Any datagram that decodes is believed, so a stranger could send them.

Ruled out: datagrams that do not decode; they are dropped.

Change: demands outside 0 to 1e9 a second are left out; sums of loads wrap, so that what was added is taken off.

Before and after: `absurd_demands_of_a_peer_are_left_out` failed with NaN, then passed; `absurd_loads_are_taken_off_again` passes.

--- a/crates/admit/src/shares.rs
+++ b/crates/admit/src/shares.rs
@@ -18,6 +18,10 @@
 /// between two messages of a peer, so its age adds little to theirs.
 const LEVEL_AGE_MS: Millis = 20;
 
+/// Most that one router can be asked for by one account, in cost units per
+/// second: 10,000 of the largest requests.
+const MOST_ASKED: f32 = 1e9;
+
 /// Bounds of the shares.
 #[derive(Clone, Copy, Debug)]
 pub struct ShareSettings {
@@ -105,8 +109,10 @@
     }
 
     /// What a peer is asked for, replacing what it said before.
-    pub fn peer_said(&mut self, peer: Name, rates: BTreeMap<Name, AccountRate>, now: Millis) {
+    pub fn peer_said(&mut self, peer: Name, mut rates: BTreeMap<Name, AccountRate>, now: Millis) {
         self.forget_peer(&peer);
+        // Sums with other values could not be taken back.
+        rates.retain(|_, rate| (0.0..=MOST_ASKED).contains(&rate.asked));
         for (account, rate) in &rates {
             *self.peer_asked.entry(Name::clone(account)).or_default() += f64::from(rate.asked);
         }
--- a/crates/admit/tests/shares.rs
+++ b/crates/admit/tests/shares.rs
@@ -150,3 +150,19 @@
         }
     }
 }
+
+/// Load pattern: a stranger's datagram that decodes.
+#[test]
+fn absurd_demands_of_a_peer_are_left_out() {
+    let mut shares = AccountShares::new(ShareSettings::default());
+    shares.set_capacity(1_000.0);
+    for absurd in [f32::NAN, f32::INFINITY, f32::MAX, -5_000.0] {
+        let rates = BTreeMap::from([(name(0), admit::AccountRate { asked: absurd })]);
+        shares.peer_said("stranger".into(), rates, 0);
+        shares.peer_said("stranger".into(), BTreeMap::new(), 0);
+    }
+    for now in (0..2_000).step_by(100) {
+        let verdict = shares.arrived(&name(0), 10.0, now);
+        assert!(verdict.covered > 0.99, "at {now}: {verdict:?}");
+    }
+}
--- a/crates/target/src/load.rs
+++ b/crates/target/src/load.rs
@@ -81,17 +81,18 @@
 }
 
 impl PeerLoad {
+    // Sums wrap around: what a stranger's datagram adds is taken off again.
     fn add(&mut self, other: &Self) {
-        self.requests += other.requests;
-        self.unread_tokens += other.unread_tokens;
-        self.memory_tokens += other.memory_tokens;
+        self.requests = self.requests.wrapping_add(other.requests);
+        self.unread_tokens = self.unread_tokens.wrapping_add(other.unread_tokens);
+        self.memory_tokens = self.memory_tokens.wrapping_add(other.memory_tokens);
         self.sent_tokens = self.sent_tokens.wrapping_add(other.sent_tokens);
     }
 
     fn take_off(&mut self, other: &Self) {
-        self.requests -= other.requests;
-        self.unread_tokens -= other.unread_tokens;
-        self.memory_tokens -= other.memory_tokens;
+        self.requests = self.requests.wrapping_sub(other.requests);
+        self.unread_tokens = self.unread_tokens.wrapping_sub(other.unread_tokens);
+        self.memory_tokens = self.memory_tokens.wrapping_sub(other.memory_tokens);
         self.sent_tokens = self.sent_tokens.wrapping_sub(other.sent_tokens);
     }
 
@@ -157,14 +158,15 @@
 
     /// Requests at the target: what is known to be sent, or what it reports.
     pub fn requests(&self, now: Millis) -> u32 {
-        let reported = self.report(now).map_or(0, |report| report.running + report.waiting);
+        let reported =
+            self.report(now).map_or(0, |report| report.running.saturating_add(report.waiting));
         self.total().requests.max(reported)
     }
 
     /// Prompt tokens that it has still to read: no more than those of requests
     /// without an answer.
     pub fn unread_tokens(&self, now: Millis) -> f64 {
-        let unanswered = self.own.unread_tokens + self.peers.unread_tokens;
+        let unanswered = self.total().unread_tokens;
         let waiting = self.outstanding.values().filter(|request| !request.answering);
         let oldest = waiting.map(|request| request.sent_at).min();
         self.backlog.left(self.read_ms, oldest, now).min(unanswered as f64)
--- a/crates/target/tests/load_sums.rs
+++ b/crates/target/tests/load_sums.rs
@@ -169,3 +169,23 @@
         }
     }
 }
+
+/// Load pattern: a stranger's datagram that decodes.
+#[test]
+fn absurd_loads_are_taken_off_again() {
+    let mut book = LoadBook::default();
+    let key = book.key(&serving(0, 1));
+    let shape = CallShape { prompt_tokens: 700, ..CallShape::default() };
+    book.begin(key, &shape, 500, 0.0, 0).expect("the target is known");
+    let before = book.get(key).expect("the target is known").total();
+    let absurd = PeerLoad {
+        requests: u32::MAX,
+        unread_tokens: u64::MAX,
+        memory_tokens: u64::MAX,
+        sent_tokens: u64::MAX,
+    };
+    let code = TargetCode::new(&target_name(0));
+    book.peer_said(&"stranger".into(), &[(code, absurd)], 0);
+    book.forget_silent(PEER_AGE, PEER_AGE + 1);
+    assert_eq!(book.get(key).expect("the target is known").total(), before);
+}
