refactor: names after what they do now

Cause: lines of refusals are bounded for late routers too, but the sampler was named after refusals over the share; `run_looks` said nothing; a comment promised a constant cost where a target's own open requests are walked.

Ruled out: any change of behaviour; names and one comment only. Before and after: formatter and linter clean.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -43,7 +43,7 @@
     repeats: Mutex<RepeatBudget>,
     members: Mutex<MemberTable>,
     source: Mutex<SourceProgress>,
-    over_share_lines: Mutex<LineSampler>,
+    refusal_lines: Mutex<LineSampler>,
     /// Wakes the beats when there is something that peers should hear at once.
     pub(crate) beat_now: Notify,
     /// Cancelled when the process ends.
@@ -106,7 +106,7 @@
             repeats: Mutex::new(RepeatBudget::new(repeat_settings)),
             members: Mutex::new(members),
             source: Mutex::default(),
-            over_share_lines: Mutex::default(),
+            refusal_lines: Mutex::default(),
             beat_now: Notify::new(),
             stop: CancellationToken::new(),
             is_draining: AtomicBool::new(false),
@@ -158,8 +158,8 @@
         lock(&self.source)
     }
 
-    pub(crate) fn over_share_lines(&self) -> MutexGuard<'_, LineSampler> {
-        lock(&self.over_share_lines)
+    pub(crate) fn refusal_lines(&self) -> MutexGuard<'_, LineSampler> {
+        lock(&self.refusal_lines)
     }
 
     pub(crate) fn start_draining(&self) {
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -98,7 +98,7 @@
         self.context.metrics.incr(&format!("refused.{cause}")).ok();
         if matches!(refusal.cause, RefusalCause::OverShare | RefusalCause::RouterLate) {
             let now = self.context.now();
-            match self.context.over_share_lines().admit(now) {
+            match self.context.refusal_lines().admit(now) {
                 Some(left_out) => self.left_out = left_out,
                 None => self.is_silent = true,
             }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -133,7 +133,7 @@
     let bound = builder.bind("callers", listen.callers, async move |_| {
         let worker = Worker::new(Arc::clone(&shared));
         ntex::rt::spawn(run_sweep(Rc::clone(&worker)));
-        ntex::rt::spawn(run_looks(Rc::clone(&worker)));
+        ntex::rt::spawn(watch_lateness(Rc::clone(&worker)));
         HttpService::h1(fn_service(move |request: Request| {
             let worker = Rc::clone(&worker);
             async move { Answer::Ok(pipeline::serve(worker, request).await) }
@@ -192,7 +192,7 @@
 }
 
 /// Looks at the clock until the process stops.
-async fn run_looks(worker: Rc<Worker>) {
+async fn watch_lateness(worker: Rc<Worker>) {
     let context = &worker.context;
     let mut was_late = false;
     while !context.stop.is_cancelled() {
--- a/crates/target/src/load.rs
+++ b/crates/target/src/load.rs
@@ -2,8 +2,8 @@
 //! peers said they sent, and what the target last reported.
 //!
 //! Load pattern: many routers, many targets and a flood of requests to place.
-//! Sums are kept as requests and messages come, so that a look at a target
-//! costs the same however many routers and requests there are.
+//! Sums are kept as requests and messages come, so that a look at a target does
+//! not walk what every router said.
 
 use std::collections::HashMap;
 
