fix: the stable hash is what it was

Change: the stable hash is restored; the hash of two hashes keeps its own last step. The product's own interface has no reason to change its ids.

Before and after: red, green.

--- a/crates/base/src/rendezvous.rs
+++ b/crates/base/src/rendezvous.rs
@@ -14,7 +14,9 @@
             hash = (hash ^ u64::from(byte)).wrapping_mul(PRIME);
         }
     }
-    finish(hash)
+    hash ^= hash >> 33;
+    hash = hash.wrapping_mul(0xff51_afd7_ed55_8ccd);
+    hash ^ (hash >> 33)
 }
 
 /// Hash of two hashes, the same on every process and every build: the weight
@@ -23,7 +25,7 @@
     finish(candidate ^ finish(key))
 }
 
-/// Spreads the low bits over all bits.
+/// Spreads each bit over all bits: one hash differs little from the next.
 fn finish(mut hash: u64) -> u64 {
     hash ^= hash >> 33;
     hash = hash.wrapping_mul(0xff51_afd7_ed55_8ccd);
