test: a history of the granting fleet that fails, known red

Change: the case stands as a test of its own with seed 2, passed over and listed in KNOWN-RED.txt, which the test command prints. Check and bound are as they were.

Before: not known. After: known, not traced.

--- a/crates/share/tests/fair_share.rs
+++ b/crates/share/tests/fair_share.rs
@@ -263,6 +263,20 @@
     fn shares_stay_fair_under_any_history(sequential 1..120 => FairShare);
 }
 
+prop_state_machine! {
+    #![proptest_config(Config {
+        cases: 48,
+        max_shrink_iters: 400,
+        rng_seed: RngSeed::Fixed(2),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[ignore = "known to fail, see KNOWN-RED.txt"]
+    #[test]
+    fn shares_stay_fair_under_other_histories(sequential 1..120 => FairShare);
+}
+
 prop_state_machine! {
     #![proptest_config(Config {
         cases: 512,
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -77,7 +77,15 @@
     cargo(&["fmt", "--all", "--check"])?;
     cargo(&["clippy", "--quiet", "--workspace", "--all-targets", "--", "--deny", "warnings"])?;
     cargo(&["build", "--quiet", "--workspace"])?;
-    cargo(&["test", "--quiet", "--workspace"])
+    cargo(&["test", "--quiet", "--workspace"])?;
+    print_known_failures()
+}
+
+/// Tests that are passed over, with what was seen.
+fn print_known_failures() -> anyhow::Result<()> {
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/../KNOWN-RED.txt");
+    print!("{}", std::fs::read_to_string(file).context("step=read_known_failures")?);
+    Ok(())
 }
 
 fn cargo(arguments: &[&str]) -> anyhow::Result<()> {
