feat: refusals by full targets say what made them full

A refusal as TargetsFull did not tell whether the targets were full with this instance's own requests, with those that peers announced, by their own reports or by memory, and an answered request did not say how old the report of its target was. The ended line now has full_own, full_announced, full_reported, full_memory and report_age_ms. No decision changed.

--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -2,6 +2,7 @@
 
 use ntex::http::{Response, ResponseHead, StatusCode};
 use ntex::util::Bytes;
+use target::FullCounts;
 
 use crate::relay::RelayBody;
 
@@ -43,15 +44,22 @@
     pub(crate) cause: RefusalCause,
     /// Time after which a retry is likely to succeed, in milliseconds.
     pub(crate) retry_after_ms: Option<u64>,
+    /// Numbers of full targets, if all of the service are full.
+    pub(crate) full_counts: Option<FullCounts>,
 }
 
 impl Refusal {
     pub(crate) fn new(cause: RefusalCause) -> Self {
-        Self { cause, retry_after_ms: None }
+        Self { cause, retry_after_ms: None, full_counts: None }
     }
 
     pub(crate) fn retry_after(cause: RefusalCause, ms: u64) -> Self {
-        Self { cause, retry_after_ms: Some(ms) }
+        Self { retry_after_ms: Some(ms), ..Self::new(cause) }
+    }
+
+    pub(crate) fn targets_full(counts: FullCounts, ms: u64) -> Self {
+        let refusal = Self::retry_after(RefusalCause::TargetsFull, ms);
+        Self { full_counts: Some(counts), ..refusal }
     }
 
     /// Returns the status code. 408, 429 and 503 guarantee that the request did
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -5,6 +5,7 @@
 use admit::ShareVerdict;
 use base::{Millis, Name};
 use cadence::prelude::*;
+use target::FullCounts;
 
 use crate::call::{AdmittedCall, RoutedCall};
 use crate::context::{GatewayContext, OpenCall};
@@ -39,6 +40,7 @@
     sent: u32,
     selection: Option<SelectionEstimate>,
     share: Option<ShareVerdict>,
+    full_counts: Option<FullCounts>,
     is_finished: bool,
     /// The log line is suppressed, as there are many of the same kind.
     is_suppressed: bool,
@@ -62,6 +64,7 @@
             sent: 0,
             selection: None,
             share: None,
+            full_counts: None,
             is_finished: false,
             is_suppressed: false,
             suppressed_lines: 0,
@@ -93,6 +96,7 @@
 
     pub(crate) fn finish_refused(&mut self, refusal: &Refusal) {
         self.status = Some(refusal.status().as_u16());
+        self.full_counts = refusal.full_counts;
         let retry_after_ms = refusal.retry_after_ms;
         let cause = format!("{:?}", refusal.cause);
         self.context.metrics.incr(&format!("refused.{cause}")).ok();
@@ -142,6 +146,11 @@
             occupancy = self.selection.map(|selection| selection.occupancy),
             unread_tokens = self.selection.map(|selection| selection.unread_tokens),
             home_rank = self.selection.and_then(|selection| selection.home_rank),
+            report_age_ms = self.selection.and_then(|selection| selection.report_age_ms),
+            full_own = self.full_counts.map(|counts| counts.own),
+            full_announced = self.full_counts.map(|counts| counts.announced),
+            full_reported = self.full_counts.map(|counts| counts.reported),
+            full_memory = self.full_counts.map(|counts| counts.memory),
             within_share = self.share.map(|share| share.is_within),
             share = self.share.map(|share| share.share as u64),
             asked = self.share.map(|share| share.demand as u64),
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -125,6 +125,8 @@
     /// Rank of the target in the request's order of homes, the targets that are
     /// likely to have its prompt cached, from 0; `None` if it has no homes.
     pub(crate) home_rank: Option<usize>,
+    /// Age of the target's own load report, in milliseconds, if it was used.
+    pub(crate) report_age_ms: Option<u64>,
 }
 
 /// How one attempt ended.
@@ -160,6 +162,7 @@
             occupancy: (selection.occupancy * 100.0).round() / 100.0,
             unread_tokens: selection.unread_tokens,
             home_rank: selection.home_rank,
+            report_age_ms: selection.report_age,
         });
         if attempts.tried.is_empty() {
             share::check_capacity(context, call, &selection)?;
@@ -244,9 +247,9 @@
     let result = select_target(loads, candidates.iter(), &query, &context.settings.choice, now);
     result.map_err(|error| match error {
         SelectionError::NoTarget => Refusal::retry_after(RefusalCause::NoTarget, TARGET_RETRY_MS),
-        SelectionError::Full { wait_ms } => {
+        SelectionError::Full { wait_ms, counts } => {
             let wait_ms = wait_ms.clamp(TARGETS_FULL_RETRY_MS.0, TARGETS_FULL_RETRY_MS.1);
-            Refusal::retry_after(RefusalCause::TargetsFull, wait_ms)
+            Refusal::targets_full(counts, wait_ms)
         }
     })
 }
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -14,6 +14,6 @@
 };
 pub use registry::{RecordChange, RegistrySettings, TargetRecord, TargetRegistry};
 pub use selection::{
-    PromptPart, RequestProfile, SelectionError, SelectionQuery, SelectionSettings, TargetSelection,
-    select_target,
+    FullCounts, PromptPart, RequestProfile, SelectionError, SelectionQuery, SelectionSettings,
+    TargetSelection, select_target,
 };
--- a/crates/target/src/load.rs
+++ b/crates/target/src/load.rs
@@ -156,8 +156,14 @@
 
     /// Returns the newest report of the target, unless it is too old.
     pub fn report(&self, now: Millis) -> Option<LoadReport> {
-        let (report, received_at) = self.report?;
-        (now.saturating_sub(received_at) <= MAX_REPORT_AGE_MS).then_some(report)
+        self.report_age(now)?;
+        self.report.map(|(report, _)| report)
+    }
+
+    /// Returns the age in milliseconds of the report that [`Self::report`] returns.
+    pub fn report_age(&self, now: Millis) -> Option<Millis> {
+        let (_, received_at) = self.report?;
+        Some(now.saturating_sub(received_at)).filter(|age| *age <= MAX_REPORT_AGE_MS)
     }
 
     /// Returns the number of requests at the target: those that routers sent or
--- a/crates/target/src/selection.rs
+++ b/crates/target/src/selection.rs
@@ -158,6 +158,8 @@
     pub waiting_ms: f64,
     /// Requests at the target divided by its slots.
     pub occupancy: f64,
+    /// Age of the target's report in milliseconds, if it is used.
+    pub report_age: Option<Millis>,
 }
 
 /// Why no target was selected.
@@ -167,7 +169,46 @@
     NoTarget,
     /// All targets are full; one is likely to have spare capacity after `wait_ms`
     /// milliseconds.
-    Full { wait_ms: Millis },
+    Full { wait_ms: Millis, counts: FullCounts },
+}
+
+/// Why one target is full. A target that is full for several reasons counts for the
+/// first one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum FullCause {
+    /// The requests of this router alone.
+    Own,
+    /// The requests of this router and its peers.
+    Announced,
+    /// The target's own report.
+    Reported,
+    /// The memory of the requests of this router and its peers.
+    Memory,
+}
+
+/// Numbers of full targets by what made them full.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct FullCounts {
+    /// Full with the requests of this router alone.
+    pub own: u32,
+    /// Full with the requests that peers announced.
+    pub announced: u32,
+    /// Full by their own reports.
+    pub reported: u32,
+    /// No memory left.
+    pub memory: u32,
+}
+
+impl FullCounts {
+    fn count(&mut self, cause: FullCause) {
+        let count = match cause {
+            FullCause::Own => &mut self.own,
+            FullCause::Announced => &mut self.announced,
+            FullCause::Reported => &mut self.reported,
+            FullCause::Memory => &mut self.memory,
+        };
+        *count += 1;
+    }
 }
 
 /// Selects the target for a request among the `candidates` of its service.
@@ -190,6 +231,7 @@
     let home_count = settings.home_count(query.profile.shared_tokens());
     let mut best: Option<TargetSelection> = None;
     let mut min_wait_ms = f64::MAX;
+    let mut counts = FullCounts::default();
     let mut rank = 0;
     while let Some(RankedTarget { key, entry, .. }) = ranked_targets.pop() {
         let Some(load) = tracker.get(key) else { continue };
@@ -198,7 +240,8 @@
         let cache_probability =
             home_rank.map_or(0.0, |rank| settings.cache_probability(rank, home_count));
         let estimate = estimate_latency(load, entry, query, cache_probability, settings, now);
-        if estimate.is_full {
+        if let Some(cause) = estimate.full_cause {
+            counts.count(cause);
             min_wait_ms = min_wait_ms.min(estimate.expected_ms);
             continue;
         }
@@ -212,6 +255,7 @@
                 home_rank,
                 waiting_ms: estimate.waiting_ms,
                 occupancy: estimate.occupancy,
+                report_age: load.report_age(now),
             });
         }
         let is_within_limit = best.as_ref().is_some_and(|best| best.expected_ms <= home_limit_ms);
@@ -219,7 +263,7 @@
             break;
         }
     }
-    best.ok_or(SelectionError::Full { wait_ms: min_wait_ms.min(1e6) as Millis })
+    best.ok_or(SelectionError::Full { wait_ms: min_wait_ms.min(1e6) as Millis, counts })
 }
 
 /// A target with its rendezvous weight for a request. The target with the
@@ -279,7 +323,7 @@
     unread_tokens: f64,
     waiting_ms: f64,
     occupancy: f64,
-    is_full: bool,
+    full_cause: Option<FullCause>,
 }
 
 fn estimate_latency(
@@ -304,9 +348,19 @@
     let memory_limit = query.engine_memory.map(|tokens| tokens as f64 * settings.memory_share);
     let max_occupancy =
         if query.engine_memory.is_some() { settings.slot_share } else { settings.queue_share };
-    let is_full = f64::from(requests) >= f64::from(entry.slots) * max_occupancy
-        || memory_limit.is_some_and(|limit| memory_tokens as f64 > limit && total.requests > 0);
+    let max_requests = f64::from(entry.slots) * max_occupancy;
+    let is_memory_used =
+        memory_limit.is_some_and(|limit| memory_tokens as f64 > limit && total.requests > 0);
+    let full_cause = if f64::from(load.own().requests) >= max_requests {
+        Some(FullCause::Own)
+    } else if f64::from(total.requests) >= max_requests {
+        Some(FullCause::Announced)
+    } else if f64::from(requests) >= max_requests {
+        Some(FullCause::Reported)
+    } else {
+        is_memory_used.then_some(FullCause::Memory)
+    };
     let overhead_ms = settings.overhead_ms * (1.0 + occupancy) + crossing_ms;
     let expected_ms = overhead_ms + processing_ms;
-    LatencyEstimate { expected_ms, overhead_ms, unread_tokens, waiting_ms, occupancy, is_full }
+    LatencyEstimate { expected_ms, overhead_ms, unread_tokens, waiting_ms, occupancy, full_cause }
 }
