fix: a shortened heartbeat still tells the load of all targets

Their peers then know of less load than they do themselves, and grant more than they do: the same class of fault, unequal knowledge of one load.

Change: a notice with the sums over all targets follows the heartbeat in the same datagram. What the list leaves out counts for the mean fullness. The mean is now one of sums over all engines, so that it can be added.

--- a/crates/gateway/src/beats.rs
+++ b/crates/gateway/src/beats.rs
@@ -17,8 +17,8 @@
 
 use crate::context::GatewayContext;
 use crate::messages::{
-    CHANGES_PATH, ChangesRequest, ChangesResponse, HeartbeatPayload, MAX_CHANGES_BYTES,
-    MAX_HEARTBEAT_BYTES,
+    CHANGES_PATH, ChangesRequest, ChangesResponse, HeartbeatNotice, HeartbeatPayload,
+    MAX_CHANGES_BYTES, MAX_HEARTBEAT_BYTES, append_notice, decode_heartbeat,
 };
 use crate::platform::SourceUpdate;
 use crate::view::{UpdateOrigin, apply_update};
@@ -100,11 +100,13 @@
     };
     drop(members);
     let mut heartbeat = Heartbeat { header, payload: HeartbeatPayload { accounts, targets } };
+    let notice = HeartbeatNotice { totals: context.loads().own_totals() };
     loop {
-        let bytes = rmp_serde::to_vec(&heartbeat).unwrap_or_else(|cause| {
+        let mut bytes = rmp_serde::to_vec(&heartbeat).unwrap_or_else(|cause| {
             tracing::error!(unit = "beats", event = "not_encoded", %cause);
             Vec::new()
         });
+        append_notice(&mut bytes, &notice);
         let payload = &mut heartbeat.payload;
         if bytes.len() <= MAX_HEARTBEAT_BYTES
             || (payload.accounts.is_empty() && payload.targets.is_empty())
@@ -134,10 +136,11 @@
                 continue;
             }
         };
-        match rmp_serde::from_slice::<Heartbeat<HeartbeatPayload>>(&buffer[..length]) {
-            Ok(heartbeat) => {
+        match decode_heartbeat(&buffer[..length]) {
+            Ok((heartbeat, notice)) => {
                 let peer = heartbeat.header.addresses.beats;
-                if handle_heartbeat(&context, heartbeat, &fetch_sender) == HeartbeatOutcome::Joined
+                if handle_heartbeat(&context, heartbeat, notice, &fetch_sender)
+                    == HeartbeatOutcome::Joined
                 {
                     // Replies at once, so that a router that has just started
                     // need not wait for the next heartbeat to learn of its peers.
@@ -156,6 +159,7 @@
 fn handle_heartbeat(
     context: &GatewayContext,
     heartbeat: Heartbeat<HeartbeatPayload>,
+    notice: Option<HeartbeatNotice>,
     fetch_sender: &mpsc::Sender<SocketAddr>,
 ) -> HeartbeatOutcome {
     let now = context.now();
@@ -184,6 +188,9 @@
     let demands: BTreeMap<_, _> = payload.accounts.into_iter().collect();
     context.shares().update_peer(Name::clone(&peer), demands, now);
     context.loads().update_peer(&peer, &payload.targets, now);
+    if let Some(notice) = notice {
+        context.loads().update_peer_totals(&peer, notice.totals);
+    }
     if revision > context.source().revision {
         // If the channel is full, a fetch is already pending.
         let _ = fetch_sender.try_send(addresses.peers);
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -2,9 +2,10 @@
 
 use admit::AccountDemand;
 use base::{Millis, Name};
+use mesh::Heartbeat;
 use route::RouteTable;
 use serde::{Deserialize, Serialize};
-use target::{InFlightLoad, TargetIdHash, TargetRecord};
+use target::{InFlightLoad, InFlightTotals, TargetIdHash, TargetRecord};
 
 /// Largest heartbeat datagram, in bytes. It stays below the usual packet size.
 pub(crate) const MAX_HEARTBEAT_BYTES: usize = 1_400;
@@ -20,6 +21,39 @@
     pub(crate) targets: Vec<(TargetIdHash, InFlightLoad)>,
 }
 
+/// What a router announces beside a heartbeat. It follows the heartbeat in the same
+/// datagram, where routers of earlier versions do not read it.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub(crate) struct HeartbeatNotice {
+    /// Load at all targets. The heartbeat may list only some of them.
+    pub(crate) totals: InFlightTotals,
+}
+
+/// Appends `notice` to an encoded heartbeat.
+pub(crate) fn append_notice(datagram: &mut Vec<u8>, notice: &HeartbeatNotice) {
+    if let Err(cause) = rmp_serde::encode::write(datagram, notice) {
+        tracing::error!(unit = "beats", event = "not_encoded", %cause);
+    }
+}
+
+/// Decodes a heartbeat, and the notice that follows it, if there is one.
+///
+/// # Errors
+/// Returns an error if the datagram does not start with a heartbeat.
+pub(crate) fn decode_heartbeat(
+    datagram: &[u8],
+) -> Result<(Heartbeat<HeartbeatPayload>, Option<HeartbeatNotice>), rmp_serde::decode::Error> {
+    let mut rest = datagram;
+    let heartbeat = rmp_serde::from_read(&mut rest)?;
+    if rest.is_empty() {
+        return Ok((heartbeat, None));
+    }
+    let notice = rmp_serde::from_slice(rest).inspect_err(|cause| {
+        tracing::debug!(unit = "beats", event = "notice_not_understood", %cause);
+    });
+    Ok((heartbeat, notice.ok()))
+}
+
 /// Asks a peer for the changes after a revision.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct ChangesRequest {
--- a/crates/gateway/tests/fair_service/fleet.rs
+++ b/crates/gateway/tests/fair_service/fleet.rs
@@ -55,6 +55,9 @@
     /// Time in milliseconds that a request occupies a slot.
     pub hold_ms: Millis,
     pub heartbeat_ms: Millis,
+    /// Targets that fit into a heartbeat; those with the most unread tokens are
+    /// kept.
+    pub listed_targets: usize,
     pub accounts: Vec<AccountLoad>,
     /// When demand rises, in milliseconds.
     pub rises_at: Millis,
@@ -190,12 +193,16 @@
             }
             let router = &mut self.routers[sender];
             let demands: BTreeMap<_, _> = router.shares.own_demands(now).into_iter().collect();
-            let loads = router.loads.own_loads();
+            let mut loads = router.loads.own_loads();
+            loads.sort_by_key(|(_, load)| std::cmp::Reverse(load.unread_tokens));
+            loads.truncate(self.load.listed_targets);
+            let totals = router.loads.own_totals();
             let peer: Name = format!("router-{sender}").into();
             for (index, receiver) in self.routers.iter_mut().enumerate() {
                 if index != sender {
                     receiver.shares.update_peer(Name::clone(&peer), demands.clone(), now);
                     receiver.loads.update_peer(&peer, &loads, now);
+                    receiver.loads.update_peer_totals(&peer, totals);
                 }
             }
         }
--- a/crates/gateway/tests/fair_service/main.rs
+++ b/crates/gateway/tests/fair_service/main.rs
@@ -10,6 +10,8 @@
 const USUAL: usize = 2;
 /// Window in which accounts are compared, in seconds.
 const WINDOW_S: usize = 6;
+/// Largest ratio between what two accounts with equal demand get in the long run.
+const MAX_RATIO: f64 = 1.25;
 
 /// Returns a fleet in which two accounts each ask for about the capacity of all
 /// engines from second 3 on, one through all routers and one through a single
@@ -24,17 +26,15 @@
         max_waiting: 33,
         hold_ms: 900,
         heartbeat_ms: 900,
+        listed_targets: 30,
         accounts: vec![busy(Callers::Spread), busy(Callers::At(0)), usual, usual, usual, usual],
         rises_at: 3_000,
     }
 }
 
-/// Guards against a router that refuses requests within their account's share
-/// since it knows of more load at the engines than other routers do.
-#[test]
-fn account_at_one_router_gets_at_least_half_of_one_at_all_routers() {
-    let mut fleet = Fleet::new(overloaded_fleet());
-    fleet.run(16);
+/// Checks that in each window from second 4 to 16 the account at one router gets at
+/// least half of what the other one gets.
+fn check_shares(fleet: &Fleet) {
     for start in 4..=16 - WINDOW_S {
         let window = start..start + WINDOW_S;
         let spread = fleet.begun(SPREAD, window.clone());
@@ -48,6 +48,35 @@
     }
 }
 
+/// Checks that both busy accounts get about the same, once their demand is known.
+fn check_ratio(fleet: &Fleet) {
+    let spread = f64::from(fleet.begun(SPREAD, 5..16));
+    let crowded = f64::from(fleet.begun(CROWDED, 5..16));
+    let ratio = spread.max(crowded) / spread.min(crowded);
+    assert!(ratio <= MAX_RATIO, "{crowded} at one router, {spread} at all routers");
+}
+
+/// Guards against a router that refuses requests within their account's share
+/// since it knows of more load at the engines than other routers do.
+#[test]
+fn account_at_one_router_gets_at_least_half_of_one_at_all_routers() {
+    let mut fleet = Fleet::new(overloaded_fleet());
+    fleet.run(16);
+    check_shares(&fleet);
+    check_ratio(&fleet);
+}
+
+/// Guards against a load that is left out of heartbeats: a router with requests at
+/// more targets than fit into a datagram would know of a greater load than its
+/// peers, and would grant less.
+#[test]
+fn shortened_heartbeats_do_not_lower_the_share_of_their_sender() {
+    let mut fleet = Fleet::new(FleetLoad { listed_targets: 10, ..overloaded_fleet() });
+    fleet.run(16);
+    check_shares(&fleet);
+    check_ratio(&fleet);
+}
+
 /// Guards against refusals of accounts that ask for less than their share while
 /// others ask for all of the capacity.
 #[test]
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -10,7 +10,8 @@
 pub use entry::{TargetEntry, TargetState};
 pub use health::{HealthSettings, RequestOutcome, TargetHealth};
 pub use load::{
-    InFlightLoad, LoadReport, LoadTracker, OutstandingKey, TargetIdHash, TargetKey, TargetLoad,
+    InFlightLoad, InFlightTotals, LoadReport, LoadTracker, OutstandingKey, TargetIdHash, TargetKey,
+    TargetLoad,
 };
 pub use registry::{RecordChange, RegistrySettings, TargetRecord, TargetRegistry};
 pub use selection::{
--- a/crates/target/src/load.rs
+++ b/crates/target/src/load.rs
@@ -86,7 +86,7 @@
 impl InFlightLoad {
     // Wraps around, so that subtracting the values of a forged datagram later
     // restores the sum.
-    fn add(&mut self, other: &Self) {
+    pub(crate) fn add(&mut self, other: &Self) {
         self.requests = self.requests.wrapping_add(other.requests);
         self.unread_tokens = self.unread_tokens.wrapping_add(other.unread_tokens);
         self.memory_tokens = self.memory_tokens.wrapping_add(other.memory_tokens);
@@ -105,6 +105,29 @@
     }
 }
 
+/// Sums over requests in flight of one router at all targets.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct InFlightTotals {
+    pub requests: u32,
+    /// Memory that the requests occupy when they complete.
+    pub memory_tokens: u64,
+}
+
+impl InFlightTotals {
+    /// Returns the load that `listed` leaves out.
+    fn unlisted(self, listed: &[(TargetKey, InFlightLoad)]) -> InFlightLoad {
+        let mut sum = InFlightLoad::default();
+        for (_, load) in listed {
+            sum.add(load);
+        }
+        InFlightLoad {
+            requests: self.requests.saturating_sub(sum.requests),
+            memory_tokens: self.memory_tokens.saturating_sub(sum.memory_tokens),
+            ..InFlightLoad::default()
+        }
+    }
+}
+
 /// Load and health of one incarnation of a target.
 #[derive(Debug)]
 pub struct TargetLoad {
@@ -193,6 +216,8 @@
 #[derive(Debug)]
 struct PeerMessage {
     loads: Vec<(TargetKey, InFlightLoad)>,
+    /// Load at targets that the message left out.
+    unlisted: InFlightLoad,
     received_at: Millis,
 }
 
@@ -203,6 +228,8 @@
     keys_by_id: HashMap<Name, TargetKey>,
     keys_by_hash: HashMap<TargetIdHash, TargetKey>,
     peers: HashMap<Name, PeerMessage>,
+    /// Sum of the unlisted loads of the peers.
+    unlisted: InFlightLoad,
     pub health_settings: HealthSettings,
 }
 
@@ -360,12 +387,24 @@
             };
             load.backlog.add(newly_sent, sent_at, load.token_ms, now);
         }
-        self.peers.insert(Name::clone(peer), PeerMessage { loads: known_loads, received_at: now });
+        let unlisted = InFlightLoad::default();
+        let message = PeerMessage { loads: known_loads, unlisted, received_at: now };
+        self.peers.insert(Name::clone(peer), message);
+    }
+
+    /// Records a peer's load at all targets, of which its last message may have
+    /// listed only some.
+    pub fn update_peer_totals(&mut self, peer: &Name, totals: InFlightTotals) {
+        let Some(message) = self.peers.get_mut(peer) else { return };
+        self.unlisted.subtract(&message.unlisted);
+        message.unlisted = totals.unlisted(&message.loads);
+        self.unlisted.add(&message.unlisted);
     }
 
     /// Subtracts the loads of a peer from the sums and returns its last message.
     fn remove_peer(&mut self, peer: &Name) -> Option<PeerMessage> {
         let message = self.peers.remove(peer)?;
+        self.unlisted.subtract(&message.unlisted);
         for (key, announced) in &message.loads {
             if let Some(load) = self.targets.get_mut(*key) {
                 load.peers.subtract(announced);
@@ -374,6 +413,20 @@
         Some(message)
     }
 
+    /// Returns the load of the peers at targets that their messages left out.
+    pub(crate) fn unlisted(&self) -> InFlightLoad {
+        self.unlisted
+    }
+
+    /// Returns this router's load at all targets together.
+    pub fn own_totals(&self) -> InFlightTotals {
+        let mut sum = InFlightLoad::default();
+        for load in self.targets.values() {
+            sum.add(&load.own);
+        }
+        InFlightTotals { requests: sum.requests, memory_tokens: sum.memory_tokens }
+    }
+
     /// Returns this router's load at every target where it has requests in flight.
     pub fn own_loads(&self) -> Vec<(TargetIdHash, InFlightLoad)> {
         let loads = self.targets.values().filter(|load| !load.own.is_empty());
--- a/crates/target/src/selection.rs
+++ b/crates/target/src/selection.rs
@@ -318,39 +318,30 @@
     BinaryHeap::from(if healthy.is_empty() { ejected } else { healthy })
 }
 
-/// Returns how full a target is: its requests or their memory as a fraction of the
-/// limit, whichever is greater. 1 or more is full.
-fn fullness(
-    load: &TargetLoad,
-    entry: &TargetEntry,
-    engine_memory: Option<u64>,
-    settings: &SelectionSettings,
-) -> f64 {
-    let requests = f64::from(load.total().requests) / f64::from(entry.slots.max(1));
-    let memory = engine_memory.map_or(0.0, |tokens| {
-        load.total().memory_tokens as f64 / (tokens.max(1) as f64 * settings.memory_share)
-    });
-    requests.max(memory)
-}
-
 /// Returns the mean fullness of the engines of a service, from 0; at 1 their slots or
-/// memory are in use. The mean of many engines is nearly the same at all routers,
-/// though each knows another load of a single engine.
+/// their memory are in use. By requests in flight, not by reports: the mean of many
+/// engines is then nearly the same at all routers, though each knows another load of
+/// a single engine.
 pub fn mean_fullness<'a>(
     tracker: &mut LoadTracker,
     entries: impl Iterator<Item = &'a Arc<TargetEntry>>,
     engine_memory: Option<u64>,
     settings: &SelectionSettings,
 ) -> f64 {
-    let mut sum = 0.0;
-    let mut count = 0;
+    let mut in_flight = tracker.unlisted();
+    let mut slots = 0.0;
+    let mut memory_limit = 0.0;
     for entry in entries {
         let key = tracker.key_for(entry);
         let Some(load) = tracker.get(key) else { continue };
-        sum += fullness(load, entry, engine_memory, settings);
-        count += 1;
+        in_flight.add(&load.total());
+        slots += f64::from(entry.slots);
+        memory_limit += engine_memory.unwrap_or(0) as f64 * settings.memory_share;
     }
-    sum / f64::from(count.max(1))
+    let by_slots = f64::from(in_flight.requests) / slots.max(1.0);
+    let by_memory =
+        if memory_limit > 0.0 { in_flight.memory_tokens as f64 / memory_limit } else { 0.0 };
+    by_slots.max(by_memory)
 }
 
 struct LatencyEstimate {
