feat: the line of a request names its caller

Which callers send the requests of an account that crowds one instance could not be told from the logs. The ended line now has the caller's IP address.

--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -49,8 +49,9 @@
 pub(crate) async fn serve(worker: Rc<Worker>, mut request: Request) -> Response<RelayBody> {
     let context = &worker.context;
     let io = request.io().cloned();
+    let caller = request.peer_addr().map(|address| address.ip());
     let received = ReceivedCall::read(context, &mut request);
-    let mut report = CallReport::new(context, received.id(), received.received_at);
+    let mut report = CallReport::new(context, received.id(), caller, received.received_at);
     let id = received.metadata.id.clone();
     let refuse = |report: &mut CallReport, refusal: Refusal| {
         report.finish_refused(&refusal);
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -1,5 +1,6 @@
 //! Logs one line at the end of each request, with the values that decided it.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 
 use admit::ShareVerdict;
@@ -32,6 +33,7 @@
     started_at: Millis,
     first_byte_at: Option<Millis>,
     request: Name,
+    caller: Option<IpAddr>,
     route: Option<Name>,
     account: Option<Name>,
     version: Option<u64>,
@@ -50,12 +52,18 @@
 }
 
 impl CallReport {
-    pub(crate) fn new(context: &Arc<GatewayContext>, id: &str, started_at: Millis) -> Self {
+    pub(crate) fn new(
+        context: &Arc<GatewayContext>,
+        id: &str,
+        caller: Option<IpAddr>,
+        started_at: Millis,
+    ) -> Self {
         Self {
             context: Arc::clone(context),
             started_at,
             first_byte_at: None,
             request: id.into(),
+            caller,
             route: None,
             account: None,
             version: None,
@@ -134,6 +142,7 @@
             unit = "call",
             event = "ended",
             request = %self.request,
+            caller = self.caller.map(tracing::field::display),
             ?end,
             cause,
             status = self.status,
