fix: ports of test fleets are reserved below the ephemeral range

Change: ports come from 12000 to 29999, each is handed out once, and a listener on a loopback address of its own keeps other test processes from the same port. The error for a router that is not ready holds the end of its log, which the fixture deletes.

--- a/crates/bench/src/latency.rs
+++ b/crates/bench/src/latency.rs
@@ -11,8 +11,9 @@
 use serde_json::{Value, json};
 
 use crate::caller::{CallEnd, HttpCaller};
-use crate::launch::{ChildProcess, RunningFleet, free_address};
+use crate::launch::{ChildProcess, RunningFleet};
 use crate::plan::{ExampleSite, FleetPlan};
+use crate::ports::free_address;
 
 /// Number of documents published in each case.
 const PUBLICATIONS: u64 = 20;
--- a/crates/bench/src/launch.rs
+++ b/crates/bench/src/launch.rs
@@ -1,7 +1,7 @@
 //! Starts and stops the processes of a fleet.
 
 use std::fs;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -13,9 +13,12 @@
 
 use crate::caller::HttpCaller;
 use crate::plan::FleetPlan;
+use crate::ports::free_address;
 
 /// Time limit for processes to become ready, in seconds.
 const READY_SECONDS: u64 = 120;
+/// Number of log lines in an error about a router that is not ready.
+const LOG_LINES: usize = 40;
 /// Time limit for a router to drain, in seconds.
 const DRAIN_SECONDS: u64 = 90;
 /// Secret of every fleet that this module starts.
@@ -98,6 +101,17 @@
         Ok(())
     }
 
+    /// Returns the last lines of the log, or why it could not be read.
+    fn log_end(&self) -> String {
+        match fs::read_to_string(&self.log_file) {
+            Ok(text) => {
+                let lines: Vec<&str> = text.lines().collect();
+                lines[lines.len().saturating_sub(LOG_LINES)..].join("\n")
+            }
+            Err(cause) => format!("log {} not read: {cause}", self.log_file.display()),
+        }
+    }
+
     /// Returns the log lines that contain all of the words.
     pub fn log_lines(&self, words: &[&str]) -> Vec<String> {
         let text = fs::read_to_string(&self.log_file).unwrap_or_default();
@@ -337,10 +351,13 @@
         let start = Instant::now();
         for index in 0..self.routers.len() {
             while !self.is_ready(caller, index).await {
+                let router = &self.routers[index];
                 anyhow::ensure!(
                     start.elapsed().as_secs() < READY_SECONDS,
-                    "step=wait_for_router peer={}: not ready in {READY_SECONDS} s",
-                    self.routers[index].name
+                    "step=wait_for_router peer={}: not ready in {READY_SECONDS} s; its log ends \
+                     with:\n{}",
+                    router.name,
+                    router.log_end()
                 );
                 tokio::time::sleep(Duration::from_millis(50)).await;
             }
@@ -438,24 +455,6 @@
     Ok(RunningRouter { name, address, peer_address, settings_file, log_file, process: None })
 }
 
-/// Returns an address whose port is the first of `count` consecutive free ports.
-///
-/// The ports are only free when they are checked: another process may take one
-/// before the caller binds it.
-pub(crate) fn free_address(host: IpAddr, count: u16) -> anyhow::Result<SocketAddr> {
-    /// Maximum number of attempts.
-    const MAX_ATTEMPTS: usize = 100;
-    for _ in 0..MAX_ATTEMPTS {
-        let first = TcpListener::bind((host, 0))?.local_addr()?;
-        let Some(last) = first.port().checked_add(count - 1) else { continue };
-        let rest = (first.port()..=last).map(|port| TcpListener::bind((host, port)));
-        if rest.collect::<Result<Vec<_>, _>>().is_ok() {
-            return Ok(first);
-        }
-    }
-    anyhow::bail!("step=find_port peer={host}: no {count} consecutive free ports")
-}
-
 /// Creates a temporary folder for the files of one fleet.
 fn create_folder() -> anyhow::Result<PathBuf> {
     let unique = format!("poplar-{}-{:x}", std::process::id(), unique_suffix());
