test: an account at one small router is served less than half, known red

A router that forwards 100 requests a second has all callers of an account that asks for 500; an account with equal demand at all routers gets 1,859 requests in six seconds, it gets 577. Listed in KNOWN-RED.txt.

--- a/crates/gateway/tests/fair_service/fleet.rs
+++ b/crates/gateway/tests/fair_service/fleet.rs
@@ -58,6 +58,8 @@
     /// Targets that fit into a heartbeat; those with the most unread tokens are
     /// kept.
     pub listed_targets: usize,
+    /// Requests that a router forwards in a second; it refuses further ones unread.
+    pub forwarded_per_s: u32,
     pub accounts: Vec<AccountLoad>,
     /// When demand rises, in milliseconds.
     pub rises_at: Millis,
@@ -73,6 +75,8 @@
     pub refused_within: u32,
     /// Refused over the account's share.
     pub refused_over: u32,
+    /// Refused unread, as the router is overloaded.
+    pub refused_late: u32,
     /// Turned away by an engine whose queue was full.
     pub turned_away: u32,
     /// Sum over the requests begun of their time in the engine's queue, in
@@ -83,6 +87,20 @@
 struct SimRouter {
     shares: AccountShares,
     loads: LoadTracker,
+    /// A second, and the requests that were read in it.
+    read: (u64, u32),
+}
+
+impl SimRouter {
+    /// Reads a request, unless `max_per_s` were read in this second.
+    fn read_request(&mut self, now: Millis, max_per_s: u32) -> bool {
+        let second = now / 1_000;
+        if self.read.0 != second {
+            self.read = (second, 0);
+        }
+        self.read.1 += 1;
+        self.read.1 <= max_per_s
+    }
 }
 
 #[derive(Clone, Copy)]
@@ -115,7 +133,7 @@
             let mut shares = AccountShares::new(ShareSettings::default());
             shares.set_capacity(capacity_per_s);
             shares.set_peer_max_age(load.heartbeat_ms * 5);
-            SimRouter { shares, loads: LoadTracker::default() }
+            SimRouter { shares, loads: LoadTracker::default(), read: (0, 0) }
         });
         let entries = (0..load.engines).map(|index| Arc::new(engine_entry(index, load.slots)));
         let engines = (0..load.engines).map(|_| Engine::new(load.slots, load.max_waiting));
@@ -230,6 +248,10 @@
         let router = &mut self.routers[router_index];
         let service = &mut self.service[account][(now / 1_000) as usize];
         service.asked += 1;
+        if !router.read_request(now, self.load.forwarded_per_s) {
+            service.refused_late += 1;
+            return;
+        }
         let name: Name = format!("account-{account}").into();
         let settings = SelectionSettings::default();
         if router.shares.is_level_due(now) {
--- a/crates/gateway/tests/fair_service/main.rs
+++ b/crates/gateway/tests/fair_service/main.rs
@@ -27,6 +27,7 @@
         hold_ms: 900,
         heartbeat_ms: 900,
         listed_targets: 30,
+        forwarded_per_s: u32::MAX,
         accounts: vec![busy(Callers::Spread), busy(Callers::At(0)), usual, usual, usual, usual],
         rises_at: 3_000,
     }
@@ -77,6 +78,16 @@
     check_ratio(&fleet);
 }
 
+/// Guards against an account that is served less than half of another one since all
+/// its callers connect to one router that can forward only a part of its requests.
+#[test]
+#[ignore = "known to fail, see KNOWN-RED.txt"]
+fn account_at_one_small_router_gets_at_least_half_of_one_at_all_routers() {
+    let mut fleet = Fleet::new(FleetLoad { forwarded_per_s: 100, ..overloaded_fleet() });
+    fleet.run(16);
+    check_shares(&fleet);
+}
+
 /// Guards against refusals of accounts that ask for less than their share while
 /// others ask for all of the capacity.
 #[test]
