refactor: earning credit is a step of its own, locks are taken one at a time

The mean fullness was computed with the targets locked while the loads were locked, against the rule of GatewayContext; the entries are copied first. One more test for what follows a heartbeat. No decision changed; tests of admit, target, mesh and gateway pass.

--- a/crates/admit/src/shares.rs
+++ b/crates/admit/src/shares.rs
@@ -3,10 +3,11 @@
 //! Shares matter when a few accounts ask for many times their usual amount, every
 //! router sees a part of the demand of each account, and the engines have less
 //! capacity than is asked for. Each router announces its demand per account. From
-//! the sum all routers compute the same shares and admit the same fraction of the
-//! requests of an account, so the fraction does not depend on where its callers
-//! connect. The demand of a peer that died is left out once its last message is too
-//! old.
+//! the sum all routers compute the same shares, and each router grants the part of
+//! an account's share that corresponds to its part of the account's demand, so it
+//! does not matter where callers connect. While the engines are overloaded, less than
+//! the capacity is granted. The demand of a peer that died is left out once its last
+//! message is too old.
 //!
 //! Capacity and costs have the same unit, which the caller chooses; the gateway
 //! counts tokens.
@@ -99,6 +100,34 @@
     average_cost: f64,
 }
 
+impl AccountState {
+    /// Adds credit for a request: all of its `cost` if the account is below its share.
+    /// Over the share, credit grows with time and not with the requests, as their rate
+    /// may have risen faster than the demand that this router and its peers know of.
+    /// `earlier_demand` is the demand at this router without the request, in cost units
+    /// per second; `min_limit` is the least credit that the account may save.
+    fn earn(
+        &mut self,
+        granted_fraction: f64,
+        earlier_demand: f64,
+        cost: f64,
+        min_limit: f64,
+        now: Millis,
+    ) {
+        let elapsed_s = now.saturating_sub(self.credited_at) as f64 / 1_000.0;
+        self.credited_at = now;
+        let own_share = granted_fraction * earlier_demand;
+        let earned = if granted_fraction >= 1.0 {
+            cost
+        } else if earlier_demand > 0.0 {
+            own_share * elapsed_s
+        } else {
+            granted_fraction * cost
+        };
+        self.credit = (self.credit + earned).min(min_limit.max(own_share * MAX_BURST_S));
+    }
+}
+
 /// Computes the shares of all accounts from the demand that this router knows.
 #[derive(Debug)]
 pub struct AccountShares {
@@ -242,22 +271,8 @@
         let Some(state) = self.accounts.get_mut(account) else {
             return ShareVerdict { is_within: true, granted_fraction, share, demand, fullness };
         };
-        let elapsed_s = now.saturating_sub(state.credited_at) as f64 / 1_000.0;
-        state.credited_at = now;
-        let own_share = granted_fraction * earlier_demand;
-        // Below the share, each request is granted. Over it, credit grows with time and
-        // not with the requests: their rate may have risen faster than the demand that
-        // this router and its peers know of.
-        let earned = if granted_fraction >= 1.0 {
-            cost
-        } else if earlier_demand > 0.0 {
-            own_share * elapsed_s
-        } else {
-            granted_fraction * cost
-        };
-        let max_credit =
-            (burst_requests * state.average_cost.max(cost)).max(own_share * MAX_BURST_S);
-        state.credit = (state.credit + earned).min(max_credit);
+        let min_limit = burst_requests * state.average_cost.max(cost);
+        state.earn(granted_fraction, earlier_demand, cost, min_limit, now);
         // Credit for half of the cost is enough: an overdraft is paid back later.
         let is_within = state.credit >= cost * 0.5;
         if is_within {
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -4,9 +4,11 @@
 //! their usual amount. Requests within their account's share are always admitted;
 //! the others only to a target that is expected to have spare capacity.
 
+use std::sync::Arc;
+
 use base::Millis;
 use hyper::body::Bytes;
-use target::{TargetSelection, mean_fullness};
+use target::{TargetEntry, TargetSelection, mean_fullness};
 
 use crate::call::{AdmittedCall, RoutedCall};
 use crate::context::GatewayContext;
@@ -40,10 +42,10 @@
 
 /// Returns the mean fullness of the engines that serve the request.
 fn engine_fullness(context: &GatewayContext, call: &RoutedCall, now: Millis) -> f64 {
-    let targets = context.targets();
-    let entries = targets.serving(&call.service, now);
+    let entries: Vec<Arc<TargetEntry>> =
+        context.targets().serving(&call.service, now).cloned().collect();
     let settings = &context.settings.choice;
-    mean_fullness(&mut context.loads(), entries, call.engine_memory(), settings)
+    mean_fullness(&mut context.loads(), entries.iter(), call.engine_memory(), settings)
 }
 
 /// Refuses a request over its account's share unless the selected target has
--- a/crates/mesh/tests/heartbeat.rs
+++ b/crates/mesh/tests/heartbeat.rs
@@ -30,3 +30,17 @@
         rmp_serde::from_slice(&datagram).expect("the heartbeat comes first");
     assert_eq!(decoded, expected);
 }
+
+/// Guards against appended data that a router of the same version does not find.
+#[test]
+fn data_after_a_heartbeat_can_be_read() {
+    let expected = heartbeat();
+    let mut datagram = rmp_serde::to_vec(&expected).expect("a heartbeat can be encoded");
+    rmp_serde::encode::write(&mut datagram, &(5_u32, "later")).expect("a tuple can be encoded");
+    let mut rest = datagram.as_slice();
+    let decoded: Heartbeat<Vec<u32>> =
+        rmp_serde::from_read(&mut rest).expect("the heartbeat comes first");
+    assert_eq!(decoded, expected);
+    let later: (u32, String) = rmp_serde::from_slice(rest).expect("the tuple follows");
+    assert_eq!(later, (5, "later".to_owned()));
+}
