fix: changes after the store was restored from a copy are applied

What operators would have seen: records with a lower revision than known ones were taken for old and ignored (a target that drains kept its requests) until the store had passed its former revision.

Cause: revisions were compared as if they only rose.

--- a/crates/gateway/src/beats.rs
+++ b/crates/gateway/src/beats.rs
@@ -216,9 +216,10 @@
     let request = rmp_serde::to_vec(&ChangesRequest { after, version })?;
     let mut client = FetchClient::new(peer, MAX_CHANGES_BYTES);
     let body = Bytes::from(request);
-    let (status, body) = client.fetch(Method::POST, CHANGES_PATH, body, PEER_TIMEOUT).await?;
+    let response = client.fetch(Method::POST, CHANGES_PATH, body, PEER_TIMEOUT).await?;
+    let status = response.status();
     anyhow::ensure!(status.is_success(), "step=fetch_changes peer={peer}: status {status}");
-    let response: ChangesResponse = rmp_serde::from_slice(&body)?;
+    let response: ChangesResponse = rmp_serde::from_slice(response.body())?;
     let now = context.now();
     if let Some(age) = response.source_recovery_age {
         context.targets().record_peer_recovery(age, now);
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -65,8 +65,12 @@
                 }
             }
             Err(cause) => {
-                needs_listing |= matches!(cause, SourceError::Compacted { .. });
+                let must_list =
+                    matches!(cause, SourceError::Compacted { .. } | SourceError::Restored { .. });
+                needs_listing |= must_list;
                 failures += 1;
+                // Entries that a restored source lacks are written again, as after an
+                // outage.
                 if !matches!(cause, SourceError::Compacted { .. }) {
                     context.targets().record_source_lost();
                 }
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -102,6 +102,9 @@
     /// The source has discarded changes after the revision.
     #[error("step=watch: changes after revision {after} are no longer kept")]
     Compacted { after: u64 },
+    /// The source was restored from a copy that may lack its last changes.
+    #[error("step={step}: the source was restored from a copy")]
+    Restored { step: &'static str },
     /// The source is temporarily unavailable or limits the rate of calls.
     #[error("step={step}: answered with status {status}")]
     Busy { step: &'static str, status: u16 },
--- a/crates/outbound/src/fetch.rs
+++ b/crates/outbound/src/fetch.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use http::{Method, Request, StatusCode};
+use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Bytes;
 use thiserror::Error;
@@ -52,7 +52,7 @@
         path: &str,
         body: Bytes,
         timeout: Duration,
-    ) -> Result<(StatusCode, Bytes), FetchError> {
+    ) -> Result<Response<Bytes>, FetchError> {
         let peer = self.peer;
         let idle = self.idle.take().filter(Connection::is_idle);
         let request = Request::builder()
@@ -67,16 +67,15 @@
                 Some(connection) => connection,
                 None => connect(peer, timeout).await?,
             };
-            let response = connection.exchange(request).await?;
-            let status = response.status();
-            let body = Limited::new(response.into_body(), max_body_bytes).collect().await;
+            let (head, body) = connection.exchange(request).await?.into_parts();
+            let body = Limited::new(body, max_body_bytes).collect().await;
             let body = body.map_err(|cause| FetchError::Body { peer, cause: cause.to_string() })?;
-            Ok((connection, status, body.to_bytes()))
+            Ok((connection, Response::from_parts(head, body.to_bytes())))
         };
         match tokio::time::timeout(timeout, exchange).await {
-            Ok(Ok((connection, status, body))) => {
+            Ok(Ok((connection, response))) => {
                 self.idle = Some(connection);
-                Ok((status, body))
+                Ok(response)
             }
             Ok(Err(cause)) => Err(cause),
             Err(_) => Err(FetchError::Timeout { peer, waited_ms: timeout.as_millis() }),
