feat: ended lines say how a stream was framed and where it ended

Change: the ended line of a stream has framing (Length, Chunked, Connection) and in_event. Nothing decides by it yet.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,7 +13,8 @@
 use ntex::http::body::{BodySize, MessageBody};
 use ntex::io::IoRef;
 use ntex::util::Bytes;
-use outbound::Connection;
+use outbound::{BodyFraming, Connection};
+use sse::EventBoundary;
 use target::RequestOutcome;
 use thiserror::Error as ThisError;
 use tokio::time::Instant;
@@ -71,6 +72,9 @@
 /// Reads the body of a target's response.
 struct ResponseReader {
     body: Incoming,
+    framing: BodyFraming,
+    /// Position of the bytes read so far, if the response is a stream of events.
+    boundary: EventBoundary,
     connection: Connection,
     outstanding: OutstandingRequest,
     advertised_timeout: Option<Duration>,
@@ -80,7 +84,15 @@
     fn new(exchange: TargetExchange) -> Self {
         let advertised_timeout = keep_alive_timeout(exchange.response.headers());
         let TargetExchange { response, connection, outstanding, .. } = exchange;
-        Self { body: response.into_body(), connection, outstanding, advertised_timeout }
+        let framing = BodyFraming::of(&response);
+        Self {
+            body: response.into_body(),
+            framing,
+            boundary: EventBoundary::default(),
+            connection,
+            outstanding,
+            advertised_timeout,
+        }
     }
 
     /// Returns the next bytes, or `None` at the end of a complete response.
@@ -91,6 +103,7 @@
                 Some(Err(cause)) => return Err(cause.to_string()),
                 Some(Ok(frame)) => {
                     if let Ok(bytes) = frame.into_data() {
+                        self.boundary.advance(&bytes);
                         return Ok(Some(bytes));
                     }
                 }
@@ -249,6 +262,7 @@
                     let partial =
                         self.splitter.as_mut().map(EventSplitter::take_partial).unwrap_or_default();
                     if let Some(reader) = self.reader.take() {
+                        self.report.record_stream(reader.framing, reader.boundary.is_in_event());
                         reader.complete(&self.worker);
                     }
                     if !partial.is_empty() {
@@ -285,6 +299,7 @@
     /// the route and the retry budget allow it.
     async fn resume(&mut self, cause: String) -> Result<(), RelayError> {
         if let Some(reader) = self.reader.take() {
+            self.report.record_stream(reader.framing, reader.boundary.is_in_event());
             reader.outstanding.finish(RequestOutcome::Failed);
         }
         let fail = |report: &mut CallReport, cause: String| {
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -6,6 +6,7 @@
 use admit::ShareVerdict;
 use base::{Millis, Name};
 use cadence::prelude::*;
+use outbound::BodyFraming;
 use target::FullCounts;
 
 use crate::call::{AdmittedCall, RoutedCall};
@@ -43,6 +44,9 @@
     selection: Option<SelectionEstimate>,
     share: Option<ShareVerdict>,
     full_counts: Option<FullCounts>,
+    framing: Option<BodyFraming>,
+    /// Whether the last stream of a target ended inside an event.
+    ended_in_event: Option<bool>,
     is_finished: bool,
     /// The log line is suppressed, as there are many of the same kind.
     is_suppressed: bool,
@@ -73,6 +77,8 @@
             selection: None,
             share: None,
             full_counts: None,
+            framing: None,
+            ended_in_event: None,
             is_finished: false,
             is_suppressed: false,
             suppressed_lines: 0,
@@ -102,6 +108,12 @@
         self.status = Some(status);
     }
 
+    /// Records how the last stream of a target was framed and where it ended.
+    pub(crate) fn record_stream(&mut self, framing: BodyFraming, ended_in_event: bool) {
+        self.framing = Some(framing);
+        self.ended_in_event = Some(ended_in_event);
+    }
+
     pub(crate) fn finish_refused(&mut self, refusal: &Refusal) {
         self.status = Some(refusal.status().as_u16());
         self.full_counts = refusal.full_counts;
@@ -164,6 +176,8 @@
             share = self.share.map(|share| share.share as u64),
             asked = self.share.map(|share| share.demand as u64),
             fullness = self.share.map(|share| (share.fullness * 100.0).round() / 100.0),
+            framing = self.framing.map(tracing::field::debug),
+            in_event = self.ended_in_event,
             retry_after_ms,
             first_ms,
             took_ms,
--- a/crates/outbound/src/lib.rs
+++ b/crates/outbound/src/lib.rs
@@ -7,8 +7,10 @@
 
 mod connection;
 mod fetch;
+mod framing;
 mod pool;
 
 pub use connection::{Connection, ExchangeError, connect};
 pub use fetch::{FetchClient, FetchError};
+pub use framing::BodyFraming;
 pub use pool::{ConnectionPool, PoolKey, PoolSettings, max_idle_connections};
