fix: a stream that ends inside an event has been broken off

Cause: the relay took the end of the target's body for the end of the stream. A body without length and chunks ends with its connection, and a target that fails closes that too. A resumable stream was even given its half event and then completed.

Ruled out: a lost error of the connection (streams with chunks or a length, and reset ones, end as Broken).

Change: a stream of events, by its content type or without one, may end only outside an event, whatever marks its end; without length and chunks it also needs an event of its own run. Otherwise it is treated like any other broken answer: nothing was passed on yet, 502 or a repeat; later, resumed where the route allows it, or the caller's connection is closed without a last chunk. The decision is in the crate sse, without network. A stream is resumed only with a response that is a stream of events. The event splitter moves there and knows CR and CRLF.

Why it works: the last byte of a whole stream is the empty line of its last event. An end between two events of a stream without length and chunks stays complete; nobody can tell it from a whole one.

--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use http::header::CONTENT_LENGTH;
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
 use http::{HeaderMap, HeaderName, HeaderValue, Request};
 use http_body_util::Full;
 use target::TargetEntry;
@@ -11,6 +11,9 @@
 use crate::platform::ForwardedMetadata;
 use crate::worker::Worker;
 
+/// Content type of a stream of events.
+const EVENT_STREAM_TYPE: &str = "text/event-stream";
+
 /// Hop-by-hop headers, which apply to a single connection and are not forwarded.
 const HOP_BY_HOP_HEADERS: [HeaderName; 7] = [
     http::header::CONNECTION,
@@ -77,6 +80,14 @@
         .collect()
 }
 
+/// Whether a response on a route for streams is a stream of events: its content type
+/// is, or it has none.
+pub(crate) fn is_event_stream(headers: &HeaderMap) -> bool {
+    let Some(value) = headers.get(CONTENT_TYPE) else { return true };
+    let media_type = value.to_str().unwrap_or_default().split(';').next().unwrap_or_default();
+    media_type.trim().eq_ignore_ascii_case(EVENT_STREAM_TYPE)
+}
+
 /// Returns the idle timeout that a target advertises in its `Keep-Alive` header.
 pub(crate) fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,7 +9,6 @@
 mod beats;
 mod call;
 mod context;
-mod events;
 mod follow;
 mod headers;
 mod messages;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,20 +8,20 @@
 use std::time::Duration;
 
 use futures_util::Stream;
+use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use ntex::http::body::{BodySize, MessageBody};
 use ntex::io::IoRef;
 use ntex::util::Bytes;
 use outbound::{BodyFraming, Connection};
-use sse::EventBoundary;
+use sse::{EventBoundary, EventSplitter};
 use target::RequestOutcome;
 use thiserror::Error as ThisError;
 use tokio::time::Instant;
 
 use crate::call::AdmittedCall;
-use crate::events::EventSplitter;
-use crate::headers::keep_alive_timeout;
+use crate::headers::{is_event_stream, keep_alive_timeout};
 use crate::report::{CallEnd, CallReport};
 use crate::send::{Attempts, OutstandingRequest, TargetExchange, send};
 use crate::worker::Worker;
@@ -73,14 +73,22 @@
 struct ResponseReader {
     body: Incoming,
     framing: BodyFraming,
-    /// Position of the bytes read so far, if the response is a stream of events.
-    boundary: EventBoundary,
+    /// Place of the bytes read so far; `None` if they are no stream of events.
+    boundary: Option<EventBoundary>,
     connection: Connection,
     outstanding: OutstandingRequest,
     advertised_timeout: Option<Duration>,
 }
 
 impl ResponseReader {
+    /// Creates a reader of a response on a route for streams. Unless its content type
+    /// says otherwise, it is a stream of events and must end after one.
+    fn of_stream(exchange: TargetExchange) -> Self {
+        let is_event_stream = is_event_stream(exchange.response.headers());
+        let boundary = is_event_stream.then(EventBoundary::default);
+        Self { boundary, ..Self::new(exchange) }
+    }
+
     fn new(exchange: TargetExchange) -> Self {
         let advertised_timeout = keep_alive_timeout(exchange.response.headers());
         let TargetExchange { response, connection, outstanding, .. } = exchange;
@@ -88,7 +96,7 @@
         Self {
             body: response.into_body(),
             framing,
-            boundary: EventBoundary::default(),
+            boundary: None,
             connection,
             outstanding,
             advertised_timeout,
@@ -96,14 +104,19 @@
     }
 
     /// Returns the next bytes, or `None` at the end of a complete response.
+    ///
+    /// # Errors
+    /// Returns a message if the response was broken off.
     async fn next_bytes(&mut self) -> Result<Option<hyper::body::Bytes>, String> {
         loop {
             match self.body.frame().await {
-                None => return Ok(None),
+                None => return self.check_end().map(|()| None),
                 Some(Err(cause)) => return Err(cause.to_string()),
                 Some(Ok(frame)) => {
                     if let Ok(bytes) = frame.into_data() {
-                        self.boundary.advance(&bytes);
+                        if let Some(boundary) = &mut self.boundary {
+                            boundary.advance(&bytes);
+                        }
                         return Ok(Some(bytes));
                     }
                 }
@@ -111,6 +124,19 @@
         }
     }
 
+    /// Checks that a stream of events ended after one of them. Its connection may have
+    /// been closed by a target that failed.
+    fn check_end(&self) -> Result<(), String> {
+        let is_marked = self.framing != BodyFraming::Connection;
+        let result = self.boundary.map_or(Ok(()), |boundary| boundary.check_end(is_marked));
+        result.map_err(|cause| cause.to_string())
+    }
+
+    fn record(&self, report: &mut CallReport) {
+        let is_in_event = self.boundary.is_some_and(|boundary| boundary.is_in_event());
+        report.record_stream(self.framing, is_in_event);
+    }
+
     /// Releases the connection for reuse and records the request as answered.
     fn complete(self, worker: &Worker) {
         worker.release(&self.outstanding.entry, self.connection, self.advertised_timeout);
@@ -176,7 +202,7 @@
     pub(crate) async fn open(
         exchange: TargetExchange,
     ) -> Result<(OpenStream, Option<hyper::body::Bytes>), String> {
-        let mut reader = ResponseReader::new(exchange);
+        let mut reader = ResponseReader::of_stream(exchange);
         match reader.next_bytes().await {
             Ok(first_chunk) => {
                 reader.outstanding.record_first_byte();
@@ -199,7 +225,8 @@
         report: CallReport,
     ) -> Self {
         let (OpenStream(reader), first_chunk) = opened;
-        let splitter = call.routed.route.kind.is_retryable().then(EventSplitter::default);
+        let is_resumable = call.routed.route.kind.is_retryable() && reader.boundary.is_some();
+        let splitter = is_resumable.then(EventSplitter::default);
         Self {
             worker,
             call,
@@ -262,7 +289,7 @@
                     let partial =
                         self.splitter.as_mut().map(EventSplitter::take_partial).unwrap_or_default();
                     if let Some(reader) = self.reader.take() {
-                        self.report.record_stream(reader.framing, reader.boundary.is_in_event());
+                        reader.record(&mut self.report);
                         reader.complete(&self.worker);
                     }
                     if !partial.is_empty() {
@@ -299,7 +326,7 @@
     /// the route and the retry budget allow it.
     async fn resume(&mut self, cause: String) -> Result<(), RelayError> {
         if let Some(reader) = self.reader.take() {
-            self.report.record_stream(reader.framing, reader.boundary.is_in_event());
+            reader.record(&mut self.report);
             reader.outstanding.finish(RequestOutcome::Failed);
         }
         let fail = |report: &mut CallReport, cause: String| {
@@ -331,8 +358,8 @@
         };
         self.report.record_attempts(&self.attempts);
         match result {
-            Ok(exchange) if exchange.response.status().is_success() => {
-                self.reader = Some(ResponseReader::new(exchange));
+            Ok(exchange) if is_resumed_stream(&exchange.response) => {
+                self.reader = Some(ResponseReader::of_stream(exchange));
                 Ok(())
             }
             Ok(exchange) => {
@@ -344,6 +371,11 @@
     }
 }
 
+/// Whether a response to a request that resumes a stream goes on with its events.
+fn is_resumed_stream(response: &Response<Incoming>) -> bool {
+    response.status().is_success() && is_event_stream(response.headers())
+}
+
 /// A response body whose first bytes have been read.
 pub(crate) struct OpenStream(ResponseReader);
 
--- a/crates/sse/tests/boundary.rs
+++ b/crates/sse/tests/boundary.rs
@@ -1,7 +1,8 @@
 //! Event boundaries, wherever the bytes are split.
 
 use proptest::prelude::*;
-use sse::EventBoundary;
+use proptest::test_runner::{Config, RngSeed};
+use sse::{EventBoundary, TruncationError};
 
 fn is_in_event(text: &str) -> bool {
     let mut boundary = EventBoundary::default();
@@ -31,6 +32,12 @@
 }
 
 proptest! {
+    #![proptest_config(Config {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(20_271),
+        ..Config::default()
+    })]
+
     /// The boundary doesn't depend on how the bytes arrive.
     #[test]
     fn splits_have_no_effect(text in "[a:\n\r]{0,40}", cut in 0_usize..40) {
@@ -45,3 +52,24 @@
         prop_assert_eq!(parts_len, whole_len);
     }
 }
+
+/// Guards against a stream that counts as complete although its target failed.
+#[test]
+fn a_stream_may_end_after_an_event_only() {
+    let check = |text: &str, is_marked: bool| {
+        let mut boundary = EventBoundary::default();
+        boundary.advance(text.as_bytes());
+        boundary.check_end(is_marked)
+    };
+    for is_marked in [false, true] {
+        assert_eq!(check("data: a\n\n", is_marked), Ok(()));
+        assert_eq!(check("data: a\n\n: ping\n", is_marked), Ok(()));
+        for text in ["d", "data: a", "data: a\n", "data: a\n\nid", "data: a\n\nid: 2\r\n"] {
+            assert_eq!(check(text, is_marked), Err(TruncationError::InEvent), "{text:?}");
+        }
+    }
+    for text in ["", "\n", ": ping\n\n"] {
+        assert_eq!(check(text, true), Ok(()), "{text:?}");
+        assert_eq!(check(text, false), Err(TruncationError::NoEvent), "{text:?}");
+    }
+}
