refactor: the reader of a target's response is a unit of its own

The relay held both the reading of a target's body with its end and the body of the response to the caller. The reader now keeps the response's head and offers the whole body or the next bytes; no behaviour changes.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod messages;
 mod pipeline;
 mod platform;
+mod reader;
 mod refusal;
 mod relay;
 mod reload;
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -12,8 +12,9 @@
 
 use crate::call::{AdmittedCall, ReceivedCall};
 use crate::headers::end_to_end_headers;
+use crate::reader::ResponseReader;
 use crate::refusal::{Refusal, RefusalCause};
-use crate::relay::{OpenStream, RelayBody, StreamRelay, read_to_end};
+use crate::relay::{OpenStream, RelayBody, StreamRelay};
 use crate::report::{CallEnd, CallReport};
 use crate::send::{Attempts, TargetExchange, send};
 use crate::share;
@@ -32,17 +33,10 @@
 const MAX_DISCARDED_BYTES: usize = 4 << 20;
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// A streamed response whose first bytes have been received.
-struct StartedStream {
-    parts: http::response::Parts,
-    stream: OpenStream,
-    first_chunk: Option<hyper::body::Bytes>,
-}
-
 /// A response that is ready to be forwarded.
 enum ReadyResponse {
     Whole(Response<RelayBody>),
-    Stream(Box<StartedStream>),
+    Stream(Box<OpenStream>),
 }
 
 /// Handles one request.
@@ -111,9 +105,9 @@
             report.finish(CallEnd::Answered, "complete");
             response
         }
-        ReadyResponse::Stream(started) => {
-            report.record_first_byte(started.parts.status.as_u16());
-            stream_response(&worker, admitted, attempts, *started, io, deadline, report)
+        ReadyResponse::Stream(stream) => {
+            report.record_first_byte(stream.head().status.as_u16());
+            stream_response(&worker, admitted, attempts, *stream, io, deadline, report)
         }
     };
     if context.is_draining() {
@@ -150,7 +144,7 @@
         let result = if is_stream {
             begin_stream(exchange).await
         } else {
-            buffer_response(worker, exchange).await
+            buffer_response(worker, ResponseReader::of_plain(exchange)).await
         };
         let cause = match result {
             Ok(ready) => return Ok(ready),
@@ -173,24 +167,15 @@
 }
 
 async fn begin_stream(exchange: TargetExchange) -> Result<ReadyResponse, String> {
-    let mut parts = http::Response::new(()).into_parts().0;
-    parts.status = exchange.response.status();
-    parts.headers = exchange.response.headers().clone();
-    let (stream, first_chunk) = StreamRelay::open(exchange).await?;
-    Ok(ReadyResponse::Stream(Box::new(StartedStream { parts, stream, first_chunk })))
+    let stream = StreamRelay::open(ResponseReader::of_stream(exchange)).await?;
+    Ok(ReadyResponse::Stream(Box::new(stream)))
 }
 
-async fn buffer_response(
-    worker: &Worker,
-    exchange: TargetExchange,
-) -> Result<ReadyResponse, String> {
-    let status = exchange.response.status();
-    let headers = end_to_end_headers(exchange.response.headers());
-    exchange.outstanding.record_first_byte();
-    let bytes = read_to_end(worker, exchange, MAX_BUFFERED_BYTES).await?;
+async fn buffer_response(worker: &Worker, reader: ResponseReader) -> Result<ReadyResponse, String> {
+    let (head, bytes) = reader.read_to_end(worker, MAX_BUFFERED_BYTES).await?;
     let body = RelayBody::Whole(Bytes::copy_from_slice(&bytes));
-    let mut response = Response::with_body(status, body);
-    response.head_mut().headers = headers;
+    let mut response = Response::with_body(head.status, body);
+    response.head_mut().headers = end_to_end_headers(&head.headers);
     Ok(ReadyResponse::Whole(response))
 }
 
@@ -198,17 +183,16 @@
     worker: &Rc<Worker>,
     call: AdmittedCall,
     attempts: Attempts,
-    started: StartedStream,
+    stream: OpenStream,
     io: Option<IoRef>,
     deadline: Instant,
     report: CallReport,
 ) -> Response<RelayBody> {
-    let StartedStream { parts, stream, first_chunk } = started;
-    let worker = Rc::clone(worker);
-    let relay =
-        StreamRelay::new(worker, call, attempts, (stream, first_chunk), io, deadline, report);
-    let mut response = Response::with_body(parts.status, relay.into_body());
-    response.head_mut().headers = end_to_end_headers(&parts.headers);
+    let status = stream.head().status;
+    let headers = end_to_end_headers(&stream.head().headers);
+    let relay = StreamRelay::new(Rc::clone(worker), call, attempts, stream, io, deadline, report);
+    let mut response = Response::with_body(status, relay.into_body());
+    response.head_mut().headers = headers;
     response
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,25 +5,23 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::Duration;
 
 use futures_util::Stream;
 use http::Response;
-use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use http::response::Parts;
+use hyper::body::Incoming;
 use ntex::http::body::{BodySize, MessageBody};
 use ntex::io::IoRef;
 use ntex::util::Bytes;
-use outbound::{BodyFraming, Connection};
-use sse::{EventBoundary, EventSplitter};
-use target::RequestOutcome;
+use sse::EventSplitter;
 use thiserror::Error as ThisError;
 use tokio::time::Instant;
 
 use crate::call::AdmittedCall;
-use crate::headers::{is_event_stream, keep_alive_timeout};
+use crate::headers::is_event_stream;
+use crate::reader::ResponseReader;
 use crate::report::{CallEnd, CallReport};
-use crate::send::{Attempts, OutstandingRequest, TargetExchange, send};
+use crate::send::{Attempts, send};
 use crate::worker::Worker;
 
 /// Why the relay of a response was aborted. The caller's connection is closed,
@@ -69,116 +67,6 @@
     }
 }
 
-/// Reads the body of a target's response.
-struct ResponseReader {
-    body: Incoming,
-    framing: BodyFraming,
-    /// Place of the bytes read so far; `None` if they are no stream of events.
-    boundary: Option<EventBoundary>,
-    connection: Connection,
-    outstanding: OutstandingRequest,
-    advertised_timeout: Option<Duration>,
-}
-
-impl ResponseReader {
-    /// Creates a reader of a response on a route for streams. Unless its content type
-    /// says otherwise, it is a stream of events and must end after one.
-    fn of_stream(exchange: TargetExchange) -> Self {
-        let is_event_stream = is_event_stream(exchange.response.headers());
-        let boundary = is_event_stream.then(EventBoundary::default);
-        Self { boundary, ..Self::new(exchange) }
-    }
-
-    fn new(exchange: TargetExchange) -> Self {
-        let advertised_timeout = keep_alive_timeout(exchange.response.headers());
-        let TargetExchange { response, connection, outstanding, .. } = exchange;
-        let framing = BodyFraming::of(&response);
-        Self {
-            body: response.into_body(),
-            framing,
-            boundary: None,
-            connection,
-            outstanding,
-            advertised_timeout,
-        }
-    }
-
-    /// Returns the next bytes, or `None` at the end of a complete response.
-    ///
-    /// # Errors
-    /// Returns a message if the response was broken off.
-    async fn next_bytes(&mut self) -> Result<Option<hyper::body::Bytes>, String> {
-        loop {
-            match self.body.frame().await {
-                None => return self.check_end().map(|()| None),
-                Some(Err(cause)) => return Err(cause.to_string()),
-                Some(Ok(frame)) => {
-                    if let Ok(bytes) = frame.into_data() {
-                        if let Some(boundary) = &mut self.boundary {
-                            boundary.advance(&bytes);
-                        }
-                        return Ok(Some(bytes));
-                    }
-                }
-            }
-        }
-    }
-
-    /// Checks that a stream of events ended after one of them. Its connection may have
-    /// been closed by a target that failed.
-    fn check_end(&self) -> Result<(), String> {
-        let is_marked = self.framing != BodyFraming::Connection;
-        let result = self.boundary.map_or(Ok(()), |boundary| boundary.check_end(is_marked));
-        result.map_err(|cause| cause.to_string())
-    }
-
-    fn record(&self, report: &mut CallReport) {
-        let is_in_event = self.boundary.is_some_and(|boundary| boundary.is_in_event());
-        report.record_stream(self.framing, is_in_event);
-    }
-
-    /// Releases the connection for reuse and records the request as answered.
-    fn complete(self, worker: &Worker) {
-        worker.release(&self.outstanding.entry, self.connection, self.advertised_timeout);
-        self.outstanding.finish(RequestOutcome::Answered);
-    }
-}
-
-/// Reads a complete response body of at most `max_bytes`.
-///
-/// # Errors
-/// Returns a message if the response breaks off or is too large.
-pub(crate) async fn read_to_end(
-    worker: &Worker,
-    exchange: TargetExchange,
-    max_bytes: usize,
-) -> Result<hyper::body::Bytes, String> {
-    let is_failure = exchange.response.status().is_server_error();
-    let mut reader = ResponseReader::new(exchange);
-    let mut body = Vec::new();
-    loop {
-        match reader.next_bytes().await {
-            Ok(Some(bytes)) if body.len() + bytes.len() > max_bytes => {
-                reader.outstanding.finish(RequestOutcome::Failed);
-                return Err(format!("answer has over {max_bytes} bytes"));
-            }
-            Ok(Some(bytes)) => body.extend_from_slice(&bytes),
-            Ok(None) if is_failure => {
-                reader.outstanding.finish(RequestOutcome::Failed);
-                return Ok(body.into());
-            }
-            Ok(None) => {
-                reader.complete(worker);
-                return Ok(body.into());
-            }
-            Err(cause) => {
-                reader.outstanding.finish(RequestOutcome::Failed);
-                return Err(cause);
-            }
-        }
-    }
-}
-
 /// Relays a streamed response from a target to a caller.
 pub(crate) struct StreamRelay {
     worker: Rc<Worker>,
@@ -199,17 +87,14 @@
     ///
     /// # Errors
     /// Returns a message if the target breaks off the response before that.
-    pub(crate) async fn open(
-        exchange: TargetExchange,
-    ) -> Result<(OpenStream, Option<hyper::body::Bytes>), String> {
-        let mut reader = ResponseReader::of_stream(exchange);
+    pub(crate) async fn open(mut reader: ResponseReader) -> Result<OpenStream, String> {
         match reader.next_bytes().await {
             Ok(first_chunk) => {
-                reader.outstanding.record_first_byte();
-                Ok((OpenStream(reader), first_chunk))
+                reader.record_first_byte();
+                Ok(OpenStream { reader, first_chunk })
             }
             Err(cause) => {
-                reader.outstanding.finish(RequestOutcome::Failed);
+                reader.fail();
                 Err(cause)
             }
         }
@@ -219,13 +104,13 @@
         worker: Rc<Worker>,
         call: AdmittedCall,
         attempts: Attempts,
-        opened: (OpenStream, Option<hyper::body::Bytes>),
+        stream: OpenStream,
         io: Option<IoRef>,
         deadline: Instant,
         report: CallReport,
     ) -> Self {
-        let (OpenStream(reader), first_chunk) = opened;
-        let is_resumable = call.routed.route.kind.is_retryable() && reader.boundary.is_some();
+        let OpenStream { reader, first_chunk } = stream;
+        let is_resumable = call.routed.route.kind.is_retryable() && reader.is_event_stream();
         let splitter = is_resumable.then(EventSplitter::default);
         Self {
             worker,
@@ -242,7 +127,7 @@
 
     /// Converts the relay into the body of the response to the caller.
     pub(crate) fn into_body(self) -> RelayBody {
-        let size = match self.reader.as_ref().and_then(|reader| reader.body.size_hint().exact()) {
+        let size = match self.reader.as_ref().and_then(ResponseReader::remaining_bytes) {
             // The length of a stream that may be resumed from another target is
             // not known in advance.
             Some(remaining) if self.splitter.is_none() => {
@@ -327,7 +212,7 @@
     async fn resume(&mut self, cause: String) -> Result<(), RelayError> {
         if let Some(reader) = self.reader.take() {
             reader.record(&mut self.report);
-            reader.outstanding.finish(RequestOutcome::Failed);
+            reader.fail();
         }
         let fail = |report: &mut CallReport, cause: String| {
             report.finish(CallEnd::Broken, &cause);
@@ -376,8 +261,19 @@
     response.status().is_success() && is_event_stream(response.headers())
 }
 
-/// A response body whose first bytes have been read.
-pub(crate) struct OpenStream(ResponseReader);
+/// A stream whose first bytes have been read.
+pub(crate) struct OpenStream {
+    reader: ResponseReader,
+    /// None if the stream has no bytes.
+    first_chunk: Option<hyper::body::Bytes>,
+}
+
+impl OpenStream {
+    /// Returns the head of the target's response.
+    pub(crate) fn head(&self) -> &Parts {
+        self.reader.head()
+    }
+}
 
 /// Waits until the caller's connection is closed, or forever without a connection.
 pub(crate) async fn caller_left(io: Option<&IoRef>) {
