fix: a caller of HTTP/1.0 gets whole streams only, with their length

What such a caller saw: chunk sizes inside the body, since the library writes chunks also to HTTP/1.0, and a truncated stream that looks complete, since without chunks the end of the connection is the end of the response.

Change: a stream for a caller of HTTP/1.0 is read whole and sent with its length, up to the 8 MiB of other buffered responses; one that breaks off is 502, or repeated. Ruled out: closing the caller's connection with a reset, which the library does not offer and which callers may take for an end.

a_truncated_stream_is_not_complete_for_a_caller_without_chunks: failed before ('transfer-encoding: chunked' in a response of HTTP/1.0), passes now.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -7,7 +7,7 @@
 
 use admit::ShareVerdict;
 use base::{Millis, Name};
-use http::Method;
+use http::{Method, Version};
 use hyper::body::Bytes;
 use ntex::http::{HeaderMap, Payload, Request};
 use ntex::util::BytesMut;
@@ -35,6 +35,9 @@
     pub(crate) host: String,
     pub(crate) headers: HeaderMap,
     pub(crate) metadata: CallMetadata,
+    /// Whether the caller knows chunks. One that does not, of HTTP/1.0, takes the end
+    /// of its connection for the end of a response without a length.
+    pub(crate) accepts_chunks: bool,
     pub(crate) received_at: Millis,
 }
 
@@ -87,6 +90,7 @@
             host,
             headers,
             metadata,
+            accepts_chunks: request.version() >= Version::HTTP_11,
             received_at: context.now(),
         }
     }
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -141,10 +141,10 @@
         let exchange = send(worker, call, attempts).await?;
         let is_stream =
             call.routed.route.kind.is_stream() && exchange.response.status().is_success();
-        let result = if is_stream {
-            begin_stream(exchange).await
-        } else {
-            buffer_response(worker, ResponseReader::of_plain(exchange)).await
+        let result = match (is_stream, call.routed.received.accepts_chunks) {
+            (true, true) => begin_stream(exchange).await,
+            (true, false) => buffer_response(worker, ResponseReader::of_stream(exchange)).await,
+            (false, _) => buffer_response(worker, ResponseReader::of_plain(exchange)).await,
         };
         let cause = match result {
             Ok(ready) => return Ok(ready),
