fix: a stream is not resumed inside an event that was passed on in part

What callers saw (in the test): an event over 256 KiB is passed on in parts; when its stream broke off before its end, the next target went on after its id, so the rest of the event was missing and the response complete.

Cause: the id of the event counted as passed on with its first part.

Change: once part of an event was passed on, the stream is not resumed any more; it ends as broken. Ruled out: resuming after the event's end, as its id line may itself have been cut by the limit.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -218,7 +218,8 @@
             report.finish(CallEnd::Broken, &cause);
             Err(RelayError::TargetFailed(cause))
         };
-        let Some(splitter) = &mut self.splitter else {
+        let splitter = self.splitter.as_mut().filter(|splitter| splitter.can_resume());
+        let Some(splitter) = splitter else {
             return fail(&mut self.report, cause);
         };
         if !crate::send::take_retry(&self.worker, &self.call, &self.attempts) {
--- a/crates/sse/src/splitter.rs
+++ b/crates/sse/src/splitter.rs
@@ -4,7 +4,7 @@
 use crate::boundary::EventBoundary;
 
 /// Largest event that is buffered until it is complete, in bytes. A larger
-/// event is passed on in parts.
+/// event is passed on in parts, and its stream can't be resumed from then on.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// Buffers the part of an event whose end has not been received yet.
@@ -14,6 +14,8 @@
     partial: Vec<u8>,
     /// Last event id that was passed on.
     last_id: Option<u64>,
+    /// Whether part of an event was passed on before its end.
+    has_passed_part: bool,
 }
 
 impl EventSplitter {
@@ -26,7 +28,8 @@
             0 => 0,
             outside_len => buffered_len + outside_len,
         };
-        if end == 0 && self.partial.len() > MAX_EVENT_BYTES {
+        self.has_passed_part |= end == 0 && self.partial.len() > MAX_EVENT_BYTES;
+        if self.has_passed_part {
             end = self.partial.len();
         }
         let complete: Vec<u8> = self.partial.drain(..end).collect();
@@ -39,6 +42,11 @@
         complete
     }
 
+    /// Whether another target may go on after [`EventSplitter::last_id`].
+    pub fn can_resume(&self) -> bool {
+        !self.has_passed_part
+    }
+
     /// Returns the last event id that was passed on.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
--- a/crates/sse/tests/splitter.rs
+++ b/crates/sse/tests/splitter.rs
@@ -40,3 +40,15 @@
         prop_assert_eq!(lines(&String::from_utf8_lossy(&passed)), lines(&whole));
     }
 }
+
+#[test]
+fn a_stream_is_not_resumed_after_part_of_a_large_event() {
+    let mut splitter = EventSplitter::default();
+    assert_eq!(splitter.push(b"id: 1\ndata: x\n\nid: 2\ndata: "), b"id: 1\ndata: x\n\n");
+    assert!(splitter.can_resume());
+    let part = splitter.push(&vec![b'a'; 300 << 10]);
+    assert_eq!(part.len(), "id: 2\ndata: ".len() + (300 << 10));
+    assert!(!splitter.can_resume());
+    assert_eq!(splitter.push(b"a\n\nid: 3"), b"a\n\nid: 3");
+    assert!(!splitter.can_resume());
+}
