fix: the connection of a broken stream is closed

What callers saw (in the test): a stream broke off right after more bytes than one write takes, and the connection stayed open without its end, until the caller gave up. It stays truthful, but the caller learns nothing.

Cause: the relay closes the connection and then waits to be dropped. The HTTP dispatcher looks at the connection only when it is polled; here its waker was used up by the write before, so the closing woke nobody ('Shutdown complete' in the library's trace and no 'Dispatcher is stopped'; the socket stayed established). Ruled out: unsent bytes (all had arrived), and whole responses of 7 MiB before a close (they arrive).

Change: the body wakes the dispatcher every 10 ms until it drops the body, and terminates the connection after 2 s, which bounds a caller that does not read.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,6 +5,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use futures_util::Stream;
 use http::Response;
@@ -24,6 +25,12 @@
 use crate::send::{Attempts, send};
 use crate::worker::Worker;
 
+/// Time between checks whether the connection of an aborted response is closed.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Time for a caller that reads slowly to receive what was sent to it before its
+/// connection is terminated.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Why the relay of a response was aborted. The caller's connection is closed,
 /// so that the response does not look complete.
 #[derive(Debug, ThisError)]
@@ -146,8 +153,7 @@
                     // one, so the connection is closed instead.
                     let Some(io) = relay.io.take() else { return Some((Err(cause), None)) };
                     drop(relay);
-                    io.close();
-                    std::future::pending().await
+                    close_connection(&io).await
                 }
             }
         });
@@ -276,6 +282,21 @@
     }
 }
 
+/// Closes a caller's connection inside a response. The future is dropped once the
+/// connection is closed: the HTTP dispatcher checks that only when the response's body
+/// wakes it, and may not be woken by the closing itself.
+async fn close_connection(io: &IoRef) -> ! {
+    io.close();
+    let deadline = Instant::now() + CLOSE_TIMEOUT;
+    while Instant::now() < deadline {
+        tokio::time::sleep(CLOSE_CHECK_INTERVAL).await;
+    }
+    io.terminate();
+    loop {
+        tokio::time::sleep(CLOSE_CHECK_INTERVAL).await;
+    }
+}
+
 /// Waits until the caller's connection is closed, or forever without a connection.
 pub(crate) async fn caller_left(io: Option<&IoRef>) {
     match io {
