fix: routers read answers without length and chunks to their end

What callers saw (in the tests): a plain answer without length and chunks was an empty 200, whole or reset; a stream without them was broken off before its first token.

Cause: the HTTP client of the router takes no body for an HTTP/1.1 response with neither length nor chunks, and so reports a complete, empty one.

Change: the router sends to targets over the crate outbound, as the gateway does, on a new connection each time as before. Its errors say whether any byte was written, which replaces the guess from the library's error. A stream still ends with its last event only.

Tests with targets behind a proxy that strips lengths and chunks, all three seen failing on the code before: whole answers (0 of 5 tokens; an empty answer), a stream that ends inside an event (0 tokens instead of 6), a reset answer (complete and empty).

--- a/crates/bench/tests/processes/main.rs
+++ b/crates/bench/tests/processes/main.rs
@@ -5,3 +5,4 @@
 mod bad_input;
 mod fixture;
 mod lifecycle;
+mod truncation;
--- a/crates/router/src/caller.rs
+++ b/crates/router/src/caller.rs
@@ -8,7 +8,6 @@
 use base::Name;
 use cadence::prelude::*;
 use doc::ServiceKind;
-use ntex::client::Client;
 use ntex::http::StatusCode;
 use ntex::util::{Bytes, BytesMut};
 use ntex::web::types::{Payload, State};
@@ -76,13 +75,12 @@
 /// `/v1/call/{service}/{path}`: handles one request to a service.
 pub(crate) async fn call(
     context: State<Arc<RouterContext>>,
-    client: State<Client>,
     peers: State<PeerClient>,
     request: HttpRequest,
     payload: Payload,
 ) -> HttpResponse {
     let id = context.next_request_id();
-    let result = handle_call(&context, &client, &peers, &request, payload, &id).await;
+    let result = handle_call(&context, &peers, &request, payload, &id).await;
     let mut response = result.unwrap_or_else(|refusal| {
         let (code, ran) = (refusal.code, refusal.ran);
         tracing::info!(unit = "caller", event = "refused", request = id, ?code, ?ran);
@@ -99,7 +97,6 @@
 
 async fn handle_call(
     context: &Arc<RouterContext>,
-    client: &Client,
     peers: &PeerClient,
     http: &HttpRequest,
     payload: Payload,
@@ -128,7 +125,7 @@
         if path != "/generate" {
             return Err(request.refuse(RefusalCode::UnknownPath));
         }
-        return handle_stream(context, client, request, &body, guard).await;
+        return handle_stream(context, request, &body, guard).await;
     }
     let call = PlainCall {
         method: http.method().clone(),
@@ -139,28 +136,27 @@
     };
     let key = header_text(http, "idempotency-key").filter(|_| at_most_once);
     let response = match key {
-        Some(key) => handle_keyed(context, client, peers, request, call, key.into(), guard).await?,
+        Some(key) => handle_keyed(context, peers, request, call, key.into(), guard).await?,
         None if at_most_once => {
-            let running = run_detached(context, client, request, call, None, guard);
+            let running = run_detached(context, request, call, None, guard);
             running
                 .await
                 .map_err(|_| Refusal::outcome_unknown(RefusalCode::OutcomeUnknown, id))??
         }
-        None => run_plain(context, client, request, &call).await?,
+        None => run_plain(context, request, &call).await?,
     };
     Ok(to_http_response(response))
 }
 
 async fn handle_stream(
     context: &Arc<RouterContext>,
-    client: &Client,
     request: Request<Received>,
     body: &Bytes,
     guard: OpenRequest,
 ) -> Result<HttpResponse, Refusal> {
     let parsed = serde_json::from_slice::<Value>(body).ok().filter(Value::is_object);
     let body = parsed.ok_or_else(|| request.refuse(RefusalCode::BadRequest))?;
-    let chunks = start_stream(context, client, request, body, guard).await?;
+    let chunks = start_stream(context, request, body, guard).await?;
     let chunks = futures_util::stream::unfold(chunks, |mut chunks| async move {
         let chunk = chunks.recv().await?;
         Some((Ok::<Bytes, std::io::Error>(chunk), chunks))
@@ -175,7 +171,6 @@
 /// Handles a call with an idempotency key, which must run at most once.
 async fn handle_keyed(
     context: &Arc<RouterContext>,
-    client: &Client,
     peers: &PeerClient,
     request: Request<Received>,
     call: PlainCall,
@@ -188,7 +183,7 @@
     let decision = context.core().keys.begin(&key, &account, call_digest, context.now());
     let outcome = match decision {
         KeyDecision::Run => {
-            let running = run_detached(context, client, request, call, Some(key), guard);
+            let running = run_detached(context, request, call, Some(key), guard);
             return running
                 .await
                 .map_err(|_| Refusal::outcome_unknown(RefusalCode::OutcomeUnknown, &id))?;
@@ -249,7 +244,6 @@
 /// disconnects, so that a retry with the same key can learn its outcome.
 fn run_detached(
     context: &Arc<RouterContext>,
-    client: &Client,
     request: Request<Received>,
     call: PlainCall,
     key: Option<Name>,
@@ -257,10 +251,9 @@
 ) -> CallReceiver {
     let (sender, receiver) = tokio::sync::oneshot::channel();
     let context = Arc::clone(context);
-    let client = client.clone();
     ntex::rt::spawn(async move {
         let _guard = guard;
-        let result = run_plain(&context, &client, request, &call).await;
+        let result = run_plain(&context, request, &call).await;
         if let Some(key) = key {
             let outcome = match &result {
                 Ok(response) => {
--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -1,4 +1,4 @@
-//! HTTP clients for other routers, platform services and targets.
+//! HTTP clients for other routers and platform services.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -7,7 +7,7 @@
 use anyhow::Context;
 use base::Name;
 use ntex::SharedCfg;
-use ntex::client::error::{ClientError, ConnectError};
+use ntex::client::error::ClientError;
 use ntex::client::{Client, ClientResponse, Connector};
 use ntex::time::Seconds;
 use serde::Serialize;
@@ -201,16 +201,6 @@
     Ok(Some(serde_json::from_slice(&bytes)?))
 }
 
-/// Creates the client for requests to targets. It never reuses a connection, so
-/// that a late or duplicate response cannot be taken for the response to a
-/// later request.
-///
-/// # Errors
-/// Returns an error if the connector of the HTTP library does not start.
-pub(crate) async fn target_client() -> anyhow::Result<Client> {
-    build_client(Connector::new().limit(MAX_CONNECTIONS).keep_alive(Seconds(0))).await
-}
-
 async fn build_client(connector: Connector) -> anyhow::Result<Client> {
     Client::builder()
         .connector::<()>(connector)
@@ -221,19 +211,3 @@
         .await
         .map_err(|cause| anyhow::anyhow!("step=start_client: {cause}"))
 }
-
-/// Returns whether bytes may have reached the target before the error. Only
-/// errors that occur before the connection is established rule this out.
-pub(crate) fn may_have_sent(error: &ClientError) -> bool {
-    let ClientError::Connect(cause) = error else { return true };
-    match cause {
-        ConnectError::Timeout
-        | ConnectError::Unresolved
-        | ConnectError::NoRecords
-        | ConnectError::SslIsNotSupported => false,
-        ConnectError::Resolver(io) | ConnectError::Disconnected(Some(io)) => {
-            io.kind() != std::io::ErrorKind::ConnectionRefused
-        }
-        _ => true,
-    }
-}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -25,6 +25,7 @@
 mod sse;
 mod status;
 mod stream;
+mod target_client;
 mod threads;
 mod watch;
 
--- a/crates/router/src/plain.rs
+++ b/crates/router/src/plain.rs
@@ -5,15 +5,15 @@
 use std::time::{Duration, Instant};
 
 use base::Name;
-use ntex::client::Client;
 use ntex::http::Method;
 use ntex::util::Bytes;
+use outbound::ExchangeError;
 
-use crate::client::may_have_sent;
 use crate::context::RouterContext;
 use crate::lifecycle::{Queued, Received, Request};
 use crate::permit::{SlotPermit, acquire_slot};
 use crate::refusal::{Refusal, RefusalCode};
+use crate::target_client::{TargetRequest, send_to_target};
 
 /// Maximum number of attempts for one request, including the first.
 pub(crate) const MAX_ATTEMPTS: u32 = 3;
@@ -49,13 +49,21 @@
     MaybeSent(String),
 }
 
+impl From<ExchangeError> for SendError {
+    fn from(error: ExchangeError) -> Self {
+        match &error {
+            ExchangeError::NotSent { .. } => Self::NotSent(error.to_string()),
+            ExchangeError::Sent { .. } => Self::MaybeSent(error.to_string()),
+        }
+    }
+}
+
 /// Sends a call to a target, with retries, and returns the response.
 ///
 /// # Errors
 /// Returns a refusal that says whether the call may have run.
 pub(crate) async fn run_plain(
     context: &Arc<RouterContext>,
-    client: &Client,
     request: Request<Received>,
     call: &PlainCall,
 ) -> Result<PlainResponse, Refusal> {
@@ -66,7 +74,7 @@
         permit.mark_dispatched();
         let dispatched = queued.dispatch();
         let start = Instant::now();
-        match send(client, address, call).await {
+        match send(address, call).await {
             Ok(response) => {
                 permit.settle(cost_of(start));
                 return Ok(response);
@@ -152,33 +160,20 @@
     (start.elapsed().as_secs_f64() * 1_000.0).max(1.0)
 }
 
-async fn send(
-    client: &Client,
-    address: SocketAddr,
-    call: &PlainCall,
-) -> Result<PlainResponse, SendError> {
+async fn send(address: SocketAddr, call: &PlainCall) -> Result<PlainResponse, SendError> {
     let sending = async {
-        let url = format!("http://{address}{}", call.path);
-        let mut builder = client.request(call.method.clone(), url).force_close();
-        if let Some(content_type) = &call.content_type {
-            builder = builder.header("content-type", content_type.as_str());
-        }
-        let response = builder.send_body(call.body.clone()).await;
-        let response = response.map_err(|cause| {
-            let text = cause.to_string();
-            if may_have_sent(&cause) {
-                SendError::MaybeSent(text)
-            } else {
-                SendError::NotSent(text)
-            }
-        })?;
-        let body = response.body().limit(MAX_RESPONSE_BYTES).await;
-        let body = body.map_err(|cause| SendError::MaybeSent(cause.to_string()))?;
-        let content_type = response.header("content-type").and_then(|value| value.to_str().ok());
+        let request = TargetRequest {
+            method: call.method.clone(),
+            path: &call.path,
+            content_type: call.content_type.as_deref(),
+            body: hyper::body::Bytes::copy_from_slice(&call.body),
+        };
+        let mut response = send_to_target(address, request).await?;
+        let body = response.read_body(MAX_RESPONSE_BYTES).await.map_err(SendError::MaybeSent)?;
         Ok(PlainResponse {
             status: response.status().as_u16(),
-            content_type: content_type.map(str::to_owned),
-            body,
+            content_type: response.content_type().map(str::to_owned),
+            body: Bytes::copy_from_slice(&body),
         })
     };
     tokio::time::timeout(Duration::from_millis(RESPONSE_TIMEOUT_MS), sending).await.unwrap_or_else(
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -11,7 +11,7 @@
 use ntex::web::{self, App};
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::client::{PeerClient, PlatformClient, target_client};
+use crate::client::{PeerClient, PlatformClient};
 use crate::context::RouterContext;
 use crate::granting::{run_gossip, run_granting};
 use crate::heartbeat::run_heartbeat;
@@ -144,13 +144,11 @@
     let listen = context.settings.listen;
     let context = Arc::clone(context);
     let server = web::server(async move || {
-        let client = target_client().await;
-        let peers = PeerClient::start(&context).await;
-        let (Ok(client), Ok(peers)) = (client, peers) else {
-            // Without its HTTP clients the router cannot serve any request.
+        let Ok(peers) = PeerClient::start(&context).await else {
+            // Without its HTTP client the router cannot serve any request.
             std::process::abort();
         };
-        App::new().state(Arc::clone(&context)).state(client).state(peers).service((
+        App::new().state(Arc::clone(&context)).state(peers).service((
             web::resource("/v1/address").route(web::get().to(address::get_address)),
             web::resource("/v1/keys").route(web::post().to(address::post_key)),
             web::resource("/v1/call/{service}/{path}*").to(caller::call),
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -7,19 +7,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::StreamExt;
-use ntex::client::{Client, ClientResponse};
+use http::Method;
 use ntex::util::Bytes;
+use outbound::ExchangeError;
 use serde_json::Value;
 use tokio::sync::mpsc;
 
-use crate::client::may_have_sent;
 use crate::context::RouterContext;
 use crate::lifecycle::{Dispatched, Queued, Received, Request};
 use crate::permit::SlotPermit;
 use crate::plain::{MAX_ATTEMPTS, acquire_target, log_failed_attempt, pause_before_retry};
 use crate::refusal::{Refusal, RefusalCode};
 use crate::sse::{EngineEvent, SseParser};
+use crate::target_client::{TargetRequest, TargetResponse, send_to_target};
 
 /// Time without data from an engine after which its stream counts as broken, in
 /// milliseconds.
@@ -36,7 +36,7 @@
 struct OpenStream {
     request: Request<Dispatched>,
     permit: SlotPermit,
-    response: ClientResponse,
+    response: TargetResponse,
 }
 
 /// How an engine's part of a response ended.
@@ -61,19 +61,17 @@
 /// may have run the request.
 pub(crate) async fn start_stream(
     context: &Arc<RouterContext>,
-    client: &Client,
     request: Request<Received>,
     body: Value,
     guard: impl Send + 'static,
 ) -> Result<ChunkReceiver, Refusal> {
     let mut attempt = 1;
-    let stream = open_stream(context, client, request.queue(), &body, 0, &mut attempt).await?;
+    let stream = open_stream(context, request.queue(), &body, 0, &mut attempt).await?;
     let (sender, receiver) = mpsc::unbounded_channel();
     let context = Arc::clone(context);
-    let client = client.clone();
     ntex::rt::spawn(async move {
         let _guard = guard;
-        relay(&context, &client, stream, &body, attempt, &sender).await;
+        relay(&context, stream, &body, attempt, &sender).await;
     });
     Ok(receiver)
 }
@@ -82,7 +80,6 @@
 /// failure.
 async fn relay(
     context: &Arc<RouterContext>,
-    client: &Client,
     mut stream: OpenStream,
     body: &Value,
     mut attempt: u32,
@@ -133,8 +130,7 @@
                 let queued = stream.request.retry_idempotent();
                 pause_before_retry(&queued.id, attempt).await;
                 let id = queued.id.clone();
-                let resumed =
-                    open_stream(context, client, queued, body, progress.next_token, &mut attempt);
+                let resumed = open_stream(context, queued, body, progress.next_token, &mut attempt);
                 let resumed = tokio::select! {
                     resumed = resumed => resumed,
                     () = sender.closed() => return,
@@ -160,7 +156,6 @@
 /// retries.
 async fn open_stream(
     context: &Arc<RouterContext>,
-    client: &Client,
     mut queued: Request<Queued>,
     body: &Value,
     resume_from: u64,
@@ -168,16 +163,18 @@
 ) -> Result<OpenStream, Refusal> {
     let mut body = body.clone();
     body["resume_from"] = resume_from.into();
-    let body = Bytes::from(body.to_string());
+    let body = hyper::body::Bytes::from(body.to_string());
     loop {
         let (mut permit, address) = acquire_target(context, &queued, *attempt).await?;
         permit.mark_dispatched();
         let dispatched = queued.dispatch();
-        let sending = client
-            .post(format!("http://{address}/v1/generate"))
-            .force_close()
-            .header("content-type", "application/json")
-            .send_body(body.clone());
+        let target_request = TargetRequest {
+            method: Method::POST,
+            path: "/v1/generate",
+            content_type: Some("application/json"),
+            body: body.clone(),
+        };
+        let sending = send_to_target(address, target_request);
         let timeout = Duration::from_millis(ENGINE_SILENCE_MS);
         let (cause, is_unsent) = match tokio::time::timeout(timeout, sending).await {
             Ok(Ok(response)) if response.status().is_success() => {
@@ -188,7 +185,7 @@
                 return Err(dispatched.refuse_outcome_unknown(RefusalCode::BadRequest));
             }
             Ok(Ok(response)) => (format!("status {}", response.status().as_u16()), false),
-            Ok(Err(cause)) => (cause.to_string(), !may_have_sent(&cause)),
+            Ok(Err(cause)) => (cause.to_string(), matches!(cause, ExchangeError::NotSent { .. })),
             Err(_) => (format!("no answer in {ENGINE_SILENCE_MS} ms"), false),
         };
         log_failed_attempt(&dispatched.id, &permit.target, "open", *attempt, &cause);
@@ -248,13 +245,13 @@
         }
         let timeout = Duration::from_millis(ENGINE_SILENCE_MS);
         let chunk = tokio::select! {
-            chunk = tokio::time::timeout(timeout, stream.response.next()) => chunk,
+            chunk = tokio::time::timeout(timeout, stream.response.next_bytes()) => chunk,
             () = sender.closed() => return StreamEnd::CallerLeft,
         };
         match chunk {
-            Ok(Some(Ok(bytes))) => parser.push(&bytes),
-            Ok(Some(Err(cause))) => return StreamEnd::Broken(cause.to_string()),
-            Ok(None) => return StreamEnd::Broken("stream ended before its last event".into()),
+            Ok(Ok(Some(bytes))) => parser.push(&bytes),
+            Ok(Err(cause)) => return StreamEnd::Broken(cause),
+            Ok(Ok(None)) => return StreamEnd::Broken("stream ended before its last event".into()),
             Err(_) => return StreamEnd::Broken(format!("silent for {ENGINE_SILENCE_MS} ms")),
         }
     }
--- /dev/null
+++ b/crates/router/src/target_client.rs
@@ -0,0 +1,90 @@
+//! Sends requests to targets.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::header::{CONNECTION, CONTENT_TYPE, HOST};
+use http::{HeaderValue, Method, Request, Response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Bytes, Incoming};
+use outbound::{Connection, ExchangeError, connect};
+
+/// Time to open a connection to a target.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A request to a target.
+#[derive(Clone, Debug)]
+pub(crate) struct TargetRequest<'a> {
+    pub(crate) method: Method,
+    pub(crate) path: &'a str,
+    pub(crate) content_type: Option<&'a str>,
+    pub(crate) body: Bytes,
+}
+
+/// A response of a target whose head has been read. Dropping it closes its connection.
+#[derive(Debug)]
+pub(crate) struct TargetResponse {
+    response: Response<Incoming>,
+    _connection: Connection,
+}
+
+/// Sends a request on a new connection, so that a late or duplicate response cannot be
+/// taken for the response to a later request.
+///
+/// # Errors
+/// Returns an error if no response arrives; its variant tells whether any part of the
+/// request was written.
+pub(crate) async fn send_to_target(
+    address: SocketAddr,
+    request: TargetRequest<'_>,
+) -> Result<TargetResponse, ExchangeError> {
+    let mut builder = Request::builder()
+        .method(request.method)
+        .uri(request.path)
+        .header(HOST, address.to_string())
+        .header(CONNECTION, HeaderValue::from_static("close"));
+    if let Some(content_type) = request.content_type {
+        builder = builder.header(CONTENT_TYPE, content_type);
+    }
+    let built = builder.body(Full::new(request.body)).map_err(|cause| ExchangeError::NotSent {
+        step: "build_request",
+        peer: address,
+        cause: cause.to_string(),
+    })?;
+    let mut connection = connect(address, CONNECT_TIMEOUT).await?;
+    let response = connection.exchange(built).await?;
+    Ok(TargetResponse { response, _connection: connection })
+}
+
+impl TargetResponse {
+    pub(crate) fn status(&self) -> http::StatusCode {
+        self.response.status()
+    }
+
+    pub(crate) fn content_type(&self) -> Option<&str> {
+        self.response.headers().get(CONTENT_TYPE)?.to_str().ok()
+    }
+
+    /// Returns the next bytes of the body, or `None` at its end. The end of a body
+    /// without length and chunks is the end of its connection.
+    ///
+    /// # Errors
+    /// Returns a message if the body was broken off.
+    pub(crate) async fn next_bytes(&mut self) -> Result<Option<Bytes>, String> {
+        while let Some(frame) = self.response.body_mut().frame().await {
+            if let Ok(bytes) = frame.map_err(|cause| cause.to_string())?.into_data() {
+                return Ok(Some(bytes));
+            }
+        }
+        Ok(None)
+    }
+
+    /// Reads the whole body.
+    ///
+    /// # Errors
+    /// Returns a message if the body was broken off or has over `max_bytes`.
+    pub(crate) async fn read_body(&mut self, max_bytes: usize) -> Result<Bytes, String> {
+        let body = Limited::new(self.response.body_mut(), max_bytes).collect().await;
+        body.map(|body| body.to_bytes()).map_err(|cause| cause.to_string())
+    }
+}
