fix: routers read load reports and documents without length and chunks

Cause: the client of the configuration service, the instance list and the targets' reports took a response with neither length nor chunks for an empty one. Load reports of such targets failed to decode, and the targets counted as failing; the document and the list could not be read.

Change: it reads over the crate outbound, with a kept connection for each peer. A response that is cut short stays an error: by its length, its chunks or a reset, and otherwise since half a JSON document does not decode.

load_reports_without_length_are_read: failed before (EOF while parsing), passes now; tests of the fetch client play whole, cut and reset responses. The client of messages between routers stays: their own server always sends a length.

--- a/crates/bench/tests/processes/truncation.rs
+++ b/crates/bench/tests/processes/truncation.rs
@@ -146,6 +146,20 @@
     });
 }
 
+/// Guards against targets that count as failing since their load reports without length
+/// and chunks are taken for empty ones.
+#[test]
+fn load_reports_without_length_are_read() {
+    with_fleet(1, |mut fleet, caller| async move {
+        start_proxies(&mut fleet, &caller, Cut::Nowhere).await?;
+        // Load reports are read every two seconds.
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        let failed = fleet.routers[0].log_lines(&["unit=\"load\"", "event=\"read_failed\""]);
+        assert!(failed.is_empty(), "{failed:?}");
+        Ok(())
+    });
+}
+
 /// Guards against a stream without length and chunks that ends inside an event and counts
 /// as complete.
 #[test]
--- a/crates/outbound/src/fetch.rs
+++ b/crates/outbound/src/fetch.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use http::request::Builder;
 use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Bytes;
@@ -39,9 +40,7 @@
         Self { peer, max_body_bytes, idle: None }
     }
 
-    /// Sends a request and reads the whole response. `timeout` covers the
-    /// entire exchange, including opening a connection. The connection is
-    /// reused only after a successful exchange.
+    /// Sends a request without headers of its own; see [`FetchClient::fetch_request`].
     ///
     /// # Errors
     /// Returns an error if the exchange fails or the complete response doesn't
@@ -52,12 +51,27 @@
         path: &str,
         body: Bytes,
         timeout: Duration,
+    ) -> Result<Response<Bytes>, FetchError> {
+        let request = Request::builder().method(method).uri(path);
+        self.fetch_request(request, body, timeout).await
+    }
+
+    /// Sends a request and reads the whole response. `timeout` covers the
+    /// entire exchange, including opening a connection. The connection is
+    /// reused only after a successful exchange.
+    ///
+    /// # Errors
+    /// Returns an error if the exchange fails or the complete response doesn't
+    /// arrive within `timeout`.
+    pub async fn fetch_request(
+        &mut self,
+        request: Builder,
+        body: Bytes,
+        timeout: Duration,
     ) -> Result<Response<Bytes>, FetchError> {
         let peer = self.peer;
         let idle = self.idle.take().filter(Connection::is_idle);
-        let request = Request::builder()
-            .method(method)
-            .uri(path)
+        let request = request
             .header(http::header::HOST, peer.to_string())
             .body(Full::new(body))
             .map_err(|cause| FetchError::Request { peer, cause: cause.to_string() })?;
--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -1,15 +1,21 @@
 //! HTTP clients for other routers and platform services.
 
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Context;
 use base::Name;
+use http::request::Builder;
+use http::{Method, Request, StatusCode};
+use hyper::body::Bytes;
 use ntex::SharedCfg;
-use ntex::client::error::ClientError;
-use ntex::client::{Client, ClientResponse, Connector};
+use ntex::client::{Client, Connector};
 use ntex::time::Seconds;
+use outbound::FetchClient;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
@@ -29,6 +35,10 @@
 /// Maximum size of a response to [`PlatformClient`], in bytes.
 const MAX_PLATFORM_BYTES: usize = 4 << 20;
 
+/// Maximum number of idle clients of a [`PlatformClient`]. Beyond it all are dropped, as
+/// most then belong to targets that are gone.
+const MAX_IDLE_CLIENTS: usize = 4_096;
+
 /// An error while exchanging a message with a peer.
 #[derive(Debug, Error)]
 pub(crate) enum PeerError {
@@ -127,22 +137,14 @@
 }
 
 /// Client for the configuration service and the instance list, and for the load
-/// reports, states and orders of targets.
-#[derive(Clone, Debug)]
+/// reports, states and orders of targets. Their responses may end with the connection.
+#[derive(Clone, Debug, Default)]
 pub(crate) struct PlatformClient {
-    client: Client,
+    /// Idle clients by peer.
+    idle: Rc<RefCell<HashMap<SocketAddr, FetchClient>>>,
 }
 
 impl PlatformClient {
-    /// Creates a client for the calling thread.
-    ///
-    /// # Errors
-    /// Returns an error if the connector of the HTTP library does not start.
-    pub(crate) async fn start() -> anyhow::Result<Self> {
-        let connector = Connector::new().limit(MAX_CONNECTIONS).keep_alive(Seconds(10));
-        Ok(Self { client: build_client(connector).await? })
-    }
-
     /// Reads JSON. Returns `None` if the response has no content (status 204).
     ///
     /// # Errors
@@ -154,8 +156,8 @@
         path: &str,
         timeout_ms: u64,
     ) -> anyhow::Result<Option<A>> {
-        let request = self.client.get(format!("http://{address}{path}"));
-        with_timeout(timeout_ms, read_json(request.send()))
+        let request = Request::builder().method(Method::GET).uri(path);
+        self.exchange_json(address, request, Bytes::new(), timeout_ms)
             .await
             .with_context(|| format!("step=read peer={address} path={path}"))
     }
@@ -171,34 +173,40 @@
         message: &T,
         timeout_ms: u64,
     ) -> anyhow::Result<Option<A>> {
-        let request = self.client.post(format!("http://{address}{path}"));
-        with_timeout(timeout_ms, read_json(request.send_json(message)))
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(path)
+            .header(http::header::CONTENT_TYPE, "application/json");
+        let body = Bytes::from(serde_json::to_vec(message)?);
+        self.exchange_json(address, request, body, timeout_ms)
             .await
             .with_context(|| format!("step=send peer={address} path={path}"))
     }
-}
 
-async fn with_timeout<A>(
-    timeout_ms: u64,
-    exchange: impl Future<Output = anyhow::Result<A>>,
-) -> anyhow::Result<A> {
-    tokio::time::timeout(Duration::from_millis(timeout_ms), exchange)
-        .await
-        .map_err(|_| anyhow::anyhow!("no answer in {timeout_ms} ms"))?
-}
-
-async fn read_json<A: DeserializeOwned>(
-    sending: impl Future<Output = Result<ClientResponse, ClientError>>,
-) -> anyhow::Result<Option<A>> {
-    let response = sending.await.map_err(|cause| anyhow::anyhow!("{cause}"))?;
-    let status = response.status();
-    if status.as_u16() == 204 {
-        return Ok(None);
+    async fn exchange_json<A: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        request: Builder,
+        body: Bytes,
+        timeout_ms: u64,
+    ) -> anyhow::Result<Option<A>> {
+        let idle = self.idle.borrow_mut().remove(&address);
+        let mut client = idle.unwrap_or_else(|| FetchClient::new(address, MAX_PLATFORM_BYTES));
+        let timeout = Duration::from_millis(timeout_ms);
+        let response = client.fetch_request(request, body, timeout).await?;
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() >= MAX_IDLE_CLIENTS {
+            idle.clear();
+        }
+        idle.insert(address, client);
+        drop(idle);
+        let status = response.status();
+        if status == StatusCode::NO_CONTENT {
+            return Ok(None);
+        }
+        anyhow::ensure!(status.is_success(), "answered with status {}", status.as_u16());
+        Ok(Some(serde_json::from_slice(response.body())?))
     }
-    anyhow::ensure!(status.is_success(), "answered with status {}", status.as_u16());
-    let bytes = response.body().limit(MAX_PLATFORM_BYTES).await;
-    let bytes = bytes.map_err(|cause| anyhow::anyhow!("{cause}"))?;
-    Ok(Some(serde_json::from_slice(&bytes)?))
 }
 
 async fn build_client(connector: Connector) -> anyhow::Result<Client> {
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -65,7 +65,7 @@
     let context = RouterContext::new(settings, metrics);
     context.mark_control_thread();
     let peers = PeerClient::start(&context).await?;
-    let platform = PlatformClient::start().await?;
+    let platform = PlatformClient::default();
     let caller_server = serve_callers(&context)?;
     let peer_server = serve_peers(&context)?;
     tracing::info!(
