feat: cargo xtask cost measures the gateway beside the pass-through proxy

Figures of an idle machine go to docs/CAPACITY.md when they are taken. The proxy now streams a response that has no length.

--- a/crates/standin/src/pass.rs
+++ b/crates/standin/src/pass.rs
@@ -5,6 +5,7 @@
 
 use ntex::SharedCfg;
 use ntex::client::{Client, Connector};
+use ntex::http::header;
 use ntex::util::Bytes;
 use ntex::web::{self, App, HttpRequest, HttpResponse, types::State};
 
@@ -51,6 +52,9 @@
     let Ok(response) = client.request(request.method().clone(), url).send_body(body).await else {
         return HttpResponse::BadGateway().finish();
     };
+    if !response.headers().contains_key(header::CONTENT_LENGTH) {
+        return HttpResponse::build(response.status()).streaming(response);
+    }
     match response.body().await {
         Ok(body) => HttpResponse::build(response.status()).body(body),
         Err(_) => HttpResponse::BadGateway().finish(),
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,4 +1,4 @@
-//! Development tasks: `cargo xtask demo`, `latency`, `measure`, `slopes` and
+//! Development tasks: `cargo xtask cost`, `demo`, `latency`, `measure`, `slopes` and
 //! `test`.
 
 use std::process::Command;
@@ -9,6 +9,7 @@
 
 #[derive(Clone, Debug)]
 enum Task {
+    Cost,
     Demo { keep: bool },
     Latency,
     Measure(MeasureOptions),
@@ -18,6 +19,10 @@
 
 fn main() -> anyhow::Result<()> {
     match parser().run() {
+        Task::Cost => {
+            run_cargo(&["build", "--quiet", "--release", "--workspace"])?;
+            run_cargo(&["bench", "--quiet", "--package", "poplar-platform", "--bench", "cost"])
+        }
         Task::Demo { keep } => {
             run_cargo(&["build", "--quiet", "--workspace"])?;
             bench::run_demo(keep)
@@ -30,6 +35,10 @@
 }
 
 fn parser() -> bpaf::OptionParser<Task> {
+    let cost = bpaf::pure(Task::Cost)
+        .to_options()
+        .descr("Measures the gateway's processor time for each kind of request")
+        .command("cost");
     let keep = long("keep").help("leave the fleet running").switch();
     let demo = construct!(Task::Demo { keep })
         .to_options()
@@ -53,7 +62,7 @@
         .to_options()
         .descr("Checks format and lints, and runs all tests")
         .command("test");
-    construct!([demo, latency, measure, slopes, test])
+    construct!([cost, demo, latency, measure, slopes, test])
         .to_options()
         .descr("Development tasks of poplarspring")
 }
