fix: the length of a stream of events is not passed on

What callers saw (in the test): a stream whose target marks an end inside an event by its own length was complete.

Cause: the response to the caller had the target's length, so the caller had all of it before the relay could tell that it ends inside an event.

Change: a stream of events goes out in chunks, whose last one the relay can withhold; the length is passed on only where the content type says that it is no such stream.

a_stream_that_its_target_ends_inside_an_event_is_not_complete: failed before for a length, passed for chunks; both pass now.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -134,15 +134,14 @@
 
     /// Converts the relay into the body of the response to the caller.
     pub(crate) fn into_body(self) -> RelayBody {
-        let size = match self.reader.as_ref().and_then(ResponseReader::remaining_bytes) {
-            // The length of a stream that may be resumed from another target is
-            // not known in advance.
-            Some(remaining) if self.splitter.is_none() => {
+        // The length of a stream of events is not passed on: a caller that has all of its
+        // bytes could not be told any more that they end inside an event.
+        let plain = self.reader.as_ref().filter(|reader| !reader.is_event_stream());
+        let size =
+            plain.and_then(ResponseReader::remaining_bytes).map_or(BodySize::Stream, |remaining| {
                 let first_len = self.first_chunk.as_ref().map_or(0, |chunk| chunk.len() as u64);
                 BodySize::Sized(remaining + first_len)
-            }
-            _ => BodySize::Stream,
-        };
+            });
         let chunks = futures_util::stream::unfold(Some(self), |relay| async move {
             let mut relay = relay?;
             match relay.next().await {
