gateway: log and serve what an instance holds

Resident memory, descriptors, connections of callers, open requests and the bytes of their bodies, once a second, as log lines and gauges.

--- a/crates/base/src/metrics.rs
+++ b/crates/base/src/metrics.rs
@@ -43,10 +43,11 @@
 #[derive(Debug, Default)]
 struct Registry {
     counters: BTreeMap<String, u64>,
+    gauges: BTreeMap<String, f64>,
     histograms: BTreeMap<String, Histogram>,
 }
 
-/// Sink that keeps counters and histograms in the process.
+/// Sink that keeps counters, gauges and histograms in the process.
 #[derive(Clone, Debug, Default)]
 pub struct PrometheusSink(Arc<Mutex<Registry>>);
 
@@ -58,6 +59,9 @@
         for (name, count) in &registry.counters {
             let _ = writeln!(text, "# TYPE {name}_total counter\n{name}_total {count}");
         }
+        for (name, value) in &registry.gauges {
+            let _ = writeln!(text, "# TYPE {name} gauge\n{name} {value}");
+        }
         for (name, histogram) in &registry.histograms {
             let _ = writeln!(text, "# TYPE {name} histogram");
             for (bound, count) in BUCKETS_MS.iter().zip(histogram.buckets) {
@@ -71,7 +75,7 @@
     }
 
     /// Records one line of the client, `name:value|type`. Returns `None` if the
-    /// line is malformed or the type is neither a counter nor a histogram.
+    /// line is malformed or the type is none of counter, gauge and histogram.
     fn record_line(&self, line: &str) -> Option<()> {
         let (name, rest) = line.split_once(':')?;
         let (value, kind) = rest.split_once('|')?;
@@ -80,6 +84,9 @@
         let mut registry = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         match kind.split('|').next()? {
             "c" => *registry.counters.entry(name).or_default() += value as u64,
+            "g" => {
+                registry.gauges.insert(name, value);
+            }
             "h" => {
                 let histogram = registry.histograms.entry(name).or_default();
                 histogram.count += 1;
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -55,6 +55,11 @@
     /// other routers.
     is_closed: AtomicBool,
     open_calls: AtomicUsize,
+    /// Connections of callers that are accepted and not closed.
+    open_connections: AtomicUsize,
+    /// Open requests whose body was received, and the bytes of these bodies.
+    held_bodies: AtomicUsize,
+    held_body_bytes: AtomicUsize,
     /// Number of live routers, including this one.
     router_count: AtomicUsize,
 }
@@ -118,6 +123,9 @@
             is_draining: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
             open_calls: AtomicUsize::new(0),
+            open_connections: AtomicUsize::new(0),
+            held_bodies: AtomicUsize::new(0),
+            held_body_bytes: AtomicUsize::new(0),
             router_count: AtomicUsize::new(1),
         })
     }
@@ -198,21 +206,63 @@
     pub(crate) fn open_calls(&self) -> usize {
         self.open_calls.load(Ordering::Relaxed)
     }
+
+    pub(crate) fn open_connections(&self) -> usize {
+        self.open_connections.load(Ordering::Relaxed)
+    }
+
+    /// Returns how many open requests have their body, and the bytes of these bodies.
+    pub(crate) fn held_bodies(&self) -> (usize, usize) {
+        let bytes = self.held_body_bytes.load(Ordering::Relaxed);
+        (self.held_bodies.load(Ordering::Relaxed), bytes)
+    }
 }
 
-/// Counts a request as open until the guard is dropped.
+/// Counts a request as open, and its body as held, until the guard is dropped.
 #[derive(Debug)]
-pub(crate) struct OpenCall(Arc<GatewayContext>);
+pub(crate) struct OpenCall {
+    context: Arc<GatewayContext>,
+    /// Bytes of the body, once it was received.
+    body_bytes: Option<usize>,
+}
 
 impl OpenCall {
     pub(crate) fn new(context: &Arc<GatewayContext>) -> Self {
         context.open_calls.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(context))
+        Self { context: Arc::clone(context), body_bytes: None }
+    }
+
+    /// Counts the body of the request as held.
+    pub(crate) fn record_body(&mut self, bytes: usize) {
+        self.body_bytes = Some(bytes);
+        self.context.held_bodies.fetch_add(1, Ordering::Relaxed);
+        self.context.held_body_bytes.fetch_add(bytes, Ordering::Relaxed);
     }
 }
 
 impl Drop for OpenCall {
     fn drop(&mut self) {
-        self.0.open_calls.fetch_sub(1, Ordering::Relaxed);
+        self.context.open_calls.fetch_sub(1, Ordering::Relaxed);
+        if let Some(bytes) = self.body_bytes {
+            self.context.held_bodies.fetch_sub(1, Ordering::Relaxed);
+            self.context.held_body_bytes.fetch_sub(bytes, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Counts a caller's connection as open until the guard is dropped.
+#[derive(Debug)]
+pub(crate) struct OpenConnection(Arc<GatewayContext>);
+
+impl OpenConnection {
+    pub(crate) fn new(context: &Arc<GatewayContext>) -> Self {
+        context.open_connections.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(context))
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.open_connections.fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod relay;
 mod reload;
 mod report;
+mod resources;
 mod run;
 mod sampling;
 mod send;
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -75,6 +75,7 @@
         Ok(body) => body,
         Err(refusal) => return refuse(&mut report, refusal),
     };
+    report.record_body(body.len());
     let admitted = share::admit(context, routed, body);
     report.record_admission(&admitted);
     let mut attempts = Attempts::default();
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -10,17 +10,19 @@
 use base::PrometheusSink;
 use ntex::SharedCfg;
 use ntex::http::{HttpService, HttpServiceConfig, Request, Response};
+use ntex::io::Io;
 use ntex::server::ServerBuilder;
-use ntex::service::fn_service;
+use ntex::service::{apply_fn_factory, fn_service};
 use ntex::time::Seconds;
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::beats::start_heartbeats;
-use crate::context::{GatewayContext, millis};
+use crate::context::{GatewayContext, OpenConnection, millis};
 use crate::follow::follow_source;
 use crate::platform::{CallFormat, StateSource};
 use crate::relay::RelayBody;
 use crate::reload::start_reload;
+use crate::resources::sample_resources;
 use crate::settings::GatewaySettings;
 use crate::worker::Worker;
 use crate::{pipeline, serve};
@@ -79,6 +81,7 @@
     let server = listen(&context, &metrics_sink)?;
     start_reload(&context, file)?;
     ntex::rt::spawn(follow_source(Arc::clone(&context), source));
+    ntex::rt::spawn(sample_resources(Arc::clone(&context)));
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
@@ -136,10 +139,15 @@
         let worker = Worker::new(Arc::clone(&worker_context));
         ntex::rt::spawn(sweep_connections(Rc::clone(&worker)));
         ntex::rt::spawn(watch_lateness(Rc::clone(&worker)));
-        HttpService::h1(fn_service(move |request: Request| {
+        let connection_context = Arc::clone(&worker.context);
+        let http_service = HttpService::h1(fn_service(move |request: Request| {
             let worker = Rc::clone(&worker);
             async move { HandlerResult::Ok(pipeline::serve(worker, request).await) }
-        }))
+        }));
+        apply_fn_factory(http_service, async move |io: Io, http_service| {
+            let _open = OpenConnection::new(&connection_context);
+            http_service.call(io).await
+        })
     });
     let mut builder = result
         .map_err(|cause| bind_error("callers", listen.callers, &cause))?
