gateway: a lack of its own says nothing about a target

What callers saw: an instance without a descriptor left ejected one sound target after the other and refused requests that it had accepted as NoTarget, also for half a second and more after descriptors were free again.

Cause: every error of a connect became ExchangeError::NotSent, which the gateway recorded as an unreachable target.

Why it works: the error number decides in one place, outbound::is_local_exhaustion (EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL), and ExchangeError::Exhausted carries it. The request is refused at once as RouterExhausted (503, Retry-After), or as AnswerLost (502) if it may have run. RequestOutcome::NotAttempted leaves the health of the target as it is, frees a probe for the next request, and takes the prompt out of the backlog and of the sent tokens that peers are told. A retry that was taken for the attempt is given back. A connect that timed out while the own thread was late since its start is refused as RouterLate and not recorded either; a response that breaks off while the thread is late is not recorded, but is retried as before, as the reset itself is a fact.

--- a/crates/admit/src/lateness.rs
+++ b/crates/admit/src/lateness.rs
@@ -35,6 +35,8 @@
     due_at: Option<Millis>,
     /// Lateness of the last tick, in milliseconds.
     last_ms: Millis,
+    /// When a tick last was so late that requests are rejected.
+    overloaded_at: Option<Millis>,
 }
 
 impl ThreadLateness {
@@ -45,6 +47,9 @@
     /// Records a tick; returns the milliseconds until the next one is due.
     pub fn tick(&mut self, now: Millis) -> Millis {
         self.last_ms = self.due_at.map_or(0, |due_at| now.saturating_sub(due_at));
+        if self.last_ms >= self.settings.max_lateness_ms {
+            self.overloaded_at = Some(now);
+        }
         self.due_at = Some(now + self.settings.tick_ms);
         self.settings.tick_ms
     }
@@ -61,4 +66,10 @@
     pub fn overload_lateness(&self, now: Millis) -> Option<Millis> {
         Some(self.late_ms(now)).filter(|late_ms| *late_ms >= self.settings.max_lateness_ms)
     }
+
+    /// Whether the thread was late at some time from `since` to `now`. A time-out measured
+    /// meanwhile says nothing about whom the thread waited for.
+    pub fn was_overloaded_since(&self, since: Millis, now: Millis) -> bool {
+        self.overload_lateness(now).is_some() || self.overloaded_at.is_some_and(|at| at >= since)
+    }
 }
--- a/crates/admit/src/retries.rs
+++ b/crates/admit/src/retries.rs
@@ -96,4 +96,12 @@
         counts.retries.add(1.0, now);
         true
     }
+
+    /// Gives back a retry that was taken and then not sent.
+    pub fn give_back(&mut self, service: &Name, now: Millis) {
+        let counts = self.counts(service);
+        if counts.retries.sum(now) >= 1.0 {
+            counts.retries.add(-1.0, now);
+        }
+    }
 }
--- a/crates/admit/tests/lateness.rs
+++ b/crates/admit/tests/lateness.rs
@@ -31,3 +31,21 @@
     lateness.tick(1_000 + due_in);
     assert_eq!(lateness.overload_lateness(1_001 + due_in), None);
 }
+
+/// Guards against a time-out that is taken for a fault of a target though the thread that
+/// measured it had not run.
+#[test]
+fn lateness_is_known_for_the_whole_time_of_a_wait() {
+    let mut lateness = ThreadLateness::default();
+    lateness.tick(0);
+    lateness.tick(50);
+    assert!(!lateness.was_overloaded_since(0, 60));
+    // Not yet ticked after a pause, then ticked, then on time again.
+    assert!(lateness.was_overloaded_since(60, 900));
+    lateness.tick(900);
+    assert!(lateness.was_overloaded_since(60, 910));
+    lateness.tick(950);
+    lateness.tick(1_000);
+    assert!(lateness.was_overloaded_since(60, 1_010));
+    assert!(!lateness.was_overloaded_since(950, 1_010));
+}
--- a/crates/admit/tests/shares.rs
+++ b/crates/admit/tests/shares.rs
@@ -194,3 +194,17 @@
         assert!(verdict.granted_fraction > 0.99, "at {now}: {verdict:?}");
     }
 }
+
+/// Guards against a retry budget that is spent by retries which a router could not send.
+#[test]
+fn retry_given_back_can_be_taken_again() {
+    let settings = RetrySettings { ratio: 0.0, allowance: 2.0, ..RetrySettings::default() };
+    let service: Name = "app".into();
+    let mut retries = RetryBudget::new(settings);
+    retries.give_back(&service, 0);
+    for now in 0..100 {
+        assert!(retries.try_take(&service, now), "at {now}");
+        assert!(!retries.try_take(&service, now), "at {now}");
+        retries.give_back(&service, now);
+    }
+}
--- a/crates/gateway/src/reader.rs
+++ b/crates/gateway/src/reader.rs
@@ -105,7 +105,7 @@
                 }
                 Ok(None) => return Ok((self.complete(worker), body.into())),
                 Err(cause) => {
-                    self.fail();
+                    self.break_off();
                     return Err(cause);
                 }
             }
@@ -129,6 +129,11 @@
         self.head
     }
 
+    /// Records that the response broke off and closes the connection.
+    pub(crate) fn break_off(self) {
+        self.outstanding.break_off();
+    }
+
     /// Releases the connection for reuse and records the request as answered. Returns
     /// the head.
     pub(crate) fn complete(self, worker: &Worker) -> Parts {
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -15,6 +15,8 @@
     Draining,
     /// The thread that serves callers lags behind.
     RouterLate,
+    /// The router lacks descriptors, buffers, memory or local ports to send the request.
+    RouterExhausted,
     NoRoute,
     BadCredential,
     BadRequest,
@@ -77,6 +79,7 @@
             Cause::NoConfiguration
             | Cause::Draining
             | Cause::RouterLate
+            | Cause::RouterExhausted
             | Cause::TargetsFull
             | Cause::NoTarget
             | Cause::NotRun
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -101,7 +101,7 @@
                 Ok(OpenStream { reader, first_chunk })
             }
             Err(cause) => {
-                reader.fail();
+                reader.break_off();
                 Err(cause)
             }
         }
@@ -217,7 +217,7 @@
     async fn resume(&mut self, cause: String) -> Result<(), RelayError> {
         if let Some(reader) = self.reader.take() {
             reader.record(&mut self.report);
-            reader.fail();
+            reader.break_off();
         }
         let fail = |report: &mut CallReport, cause: String| {
             report.finish(CallEnd::Broken, &cause);
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -120,7 +120,10 @@
         let retry_after_ms = refusal.retry_after_ms;
         let cause = format!("{:?}", refusal.cause);
         self.context.metrics.incr(&format!("refused.{cause}")).ok();
-        if matches!(refusal.cause, RefusalCause::OverShare | RefusalCause::RouterLate) {
+        if matches!(
+            refusal.cause,
+            RefusalCause::OverShare | RefusalCause::RouterLate | RefusalCause::RouterExhausted
+        ) {
             let now = self.context.now();
             match self.context.refusal_log_sampler().allow(now) {
                 Some(suppressed) => self.suppressed_lines = suppressed,
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use base::Name;
+use base::{Millis, Name};
 use cadence::prelude::*;
 use http::Response;
 use hyper::body::Incoming;
@@ -26,6 +26,11 @@
 /// Time after which a target is likely to be available again, in milliseconds:
 /// about the duration of a target's first ejection.
 const TARGET_RETRY_MS: u64 = 500;
+/// Time after which this router is likely to have resources again, in milliseconds: that
+/// of a few short requests, whose ends free them.
+const EXHAUSTED_RETRY_MS: u64 = 200;
+/// Shortest retry time of a request that met a late thread, in milliseconds.
+const MIN_LATE_RETRY_MS: u64 = 150;
 /// Limits of the retry time that callers get when all targets are full, in
 /// milliseconds.
 const TARGETS_FULL_RETRY_MS: (u64, u64) = (200, 2_000);
@@ -56,6 +61,14 @@
         self.remove(Some(outcome));
     }
 
+    /// Removes the request from the target's load and records that its response broke off.
+    /// This is not recorded in the target's health while this thread is late, as the
+    /// target may have given up on it.
+    pub(crate) fn break_off(mut self) {
+        let is_late = self.worker.was_late_since(self.worker.context.now());
+        self.remove((!is_late).then_some(RequestOutcome::Failed));
+    }
+
     fn remove(&mut self, outcome: Option<RequestOutcome>) {
         let Some(request_key) = self.request_key.take() else { return };
         let context = &self.worker.context;
@@ -134,6 +147,9 @@
     Response(Box<TargetExchange>),
     /// Nothing of the request was written.
     NotSent(String),
+    /// This router could not send the request for a lack of its own, which says nothing
+    /// about any target.
+    OwnLack(String, Refusal),
     /// The target stated that it did not run the request.
     NotRun(u16),
     /// The request may have run, but there is no valid response.
@@ -169,6 +185,7 @@
         }
         let entry = Arc::clone(&selection.entry);
         attempts.tried.push(Name::clone(&entry.id));
+        let sent_before = attempts.sent;
         let end = run_attempt(worker, call, selection, attempts).await;
         let (cause, refusal) = match end {
             AttemptEnd::Response(exchange) => {
@@ -187,6 +204,13 @@
                 let is_last = attempts.unsent >= MAX_UNSENT_ATTEMPTS;
                 (cause, is_last.then_some(refusal))
             }
+            AttemptEnd::OwnLack(cause, refusal) => {
+                if sent_before > 0 && attempts.sent == sent_before {
+                    // The retry that was taken for this attempt was not sent.
+                    context.retries().give_back(&call.routed.service, context.now());
+                }
+                (cause, Some(refusal))
+            }
             AttemptEnd::NotRun(status) => {
                 let refusal = Refusal::retry_after(RefusalCause::NotRun, TARGET_RETRY_MS);
                 let will_retry = take_retry(worker, call, attempts);
@@ -254,6 +278,22 @@
     })
 }
 
+/// Returns the refusal of a request that failed for a lack of this router's own; `None` if
+/// the error is that of the target. The attempt began at `since`.
+fn own_lack_refusal(worker: &Worker, cause: &ExchangeError, since: Millis) -> Option<Refusal> {
+    match cause {
+        ExchangeError::Exhausted { .. } => {
+            Some(Refusal::retry_after(RefusalCause::RouterExhausted, EXHAUSTED_RETRY_MS))
+        }
+        ExchangeError::TimedOut { .. } if worker.was_late_since(since) => {
+            let late_ms = worker.lateness.borrow().late_ms(worker.context.now());
+            let wait_ms = late_ms.max(MIN_LATE_RETRY_MS);
+            Some(Refusal::retry_after(RefusalCause::RouterLate, wait_ms))
+        }
+        _ => None,
+    }
+}
+
 async fn run_attempt(
     worker: &Rc<Worker>,
     call: &AdmittedCall,
@@ -281,10 +321,15 @@
         CallKind::Idempotent | CallKind::Stream { .. } => ConnectionReuse::Allowed,
     };
     let may_have_run_before = attempts.may_have_run;
+    let started_at = context.now();
     let (connection, response) = loop {
         let mut connection = match worker.connection(&outstanding.entry, reuse).await {
             Ok(connection) => connection,
             Err(cause) => {
+                if let Some(refusal) = own_lack_refusal(worker, &cause, started_at) {
+                    outstanding.finish(RequestOutcome::NotAttempted);
+                    return AttemptEnd::OwnLack(cause.to_string(), refusal);
+                }
                 outstanding.finish(RequestOutcome::Unreachable);
                 return AttemptEnd::NotSent(cause.to_string());
             }
@@ -297,19 +342,30 @@
         attempts.may_have_run = true;
         match connection.exchange(request).await {
             Ok(response) => break (connection, response),
-            Err(ExchangeError::NotSent { .. }) if reuse == ConnectionReuse::Allowed => {
+            Err(cause @ ExchangeError::Exhausted { .. }) => {
+                if cause.is_unsent() {
+                    attempts.may_have_run = may_have_run_before;
+                    outstanding.finish(RequestOutcome::NotAttempted);
+                } else {
+                    attempts.sent += 1;
+                }
+                let refusal =
+                    Refusal::retry_after(RefusalCause::RouterExhausted, EXHAUSTED_RETRY_MS);
+                return AttemptEnd::OwnLack(cause.to_string(), refusal);
+            }
+            Err(cause) if cause.is_unsent() && reuse == ConnectionReuse::Allowed => {
                 // The target closed the idle connection. A new connection to
                 // the same target keeps the request at its home target.
                 attempts.may_have_run = may_have_run_before;
                 reuse = ConnectionReuse::Never;
             }
-            Err(ExchangeError::NotSent { cause, .. }) => {
+            Err(cause) if cause.is_unsent() => {
                 attempts.may_have_run = may_have_run_before;
-                return AttemptEnd::NotSent(cause);
+                return AttemptEnd::NotSent(cause.to_string());
             }
-            Err(cause @ ExchangeError::Sent { .. }) => {
+            Err(cause) => {
                 attempts.sent += 1;
-                outstanding.finish(RequestOutcome::Failed);
+                outstanding.break_off();
                 return AttemptEnd::ResponseLost(cause.to_string());
             }
         }
--- a/crates/gateway/src/worker.rs
+++ b/crates/gateway/src/worker.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use admit::ThreadLateness;
-use base::Name;
+use base::{Millis, Name};
 use outbound::{
     Connection, ConnectionPool, ExchangeError, PoolSettings, connect, max_idle_connections,
 };
@@ -48,7 +48,8 @@
     /// Returns an idle or a new connection to a target.
     ///
     /// # Errors
-    /// Returns [`ExchangeError::NotSent`] if no connection can be opened.
+    /// Returns an error for which [`ExchangeError::is_unsent`] holds if no connection can
+    /// be opened.
     pub(crate) async fn connection(
         &self,
         entry: &TargetEntry,
@@ -63,6 +64,12 @@
         connect(entry.address, CONNECT_TIMEOUT).await
     }
 
+    /// Whether this thread was late at some time since `since`, so that a time-out says
+    /// nothing about whom it waited for.
+    pub(crate) fn was_late_since(&self, since: Millis) -> bool {
+        self.lateness.borrow().was_overloaded_since(since, self.context.now())
+    }
+
     /// Returns a connection to the pool after its response has been read completely.
     pub(crate) fn release(
         &self,
--- a/crates/outbound/src/connection.rs
+++ b/crates/outbound/src/connection.rs
@@ -12,6 +12,8 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 
+use crate::exhaustion::{is_caused_by_exhaustion, is_local_exhaustion};
+
 /// How long sent bytes may stay unacknowledged before the connection is closed.
 /// Well below the time that callers wait for a first byte, and well above the
 /// time needed to recover a few lost packets.
@@ -27,11 +29,30 @@
     /// No byte of the request was written, so it did not run.
     #[error("step={step} peer={peer}: {cause}")]
     NotSent { step: &'static str, peer: SocketAddr, cause: String },
+    /// No connection was established in time, so the request did not run. Says nothing
+    /// about the peer if the thread that waited was late itself.
+    #[error("step=connect peer={peer}: no connection in {waited_ms} ms")]
+    TimedOut { peer: SocketAddr, waited_ms: u128 },
+    /// This machine lacks descriptors, buffers, memory or local ports, which says nothing
+    /// about the peer. The request may have run if `is_sent`.
+    #[error("step={step} peer={peer}: {cause}")]
+    Exhausted { step: &'static str, peer: SocketAddr, cause: String, is_sent: bool },
     /// At least part of the request was written, so it may have run.
     #[error("step=exchange peer={peer}: {cause}")]
     Sent { peer: SocketAddr, cause: String },
 }
 
+impl ExchangeError {
+    /// Whether no byte of the request was written.
+    pub fn is_unsent(&self) -> bool {
+        match self {
+            Self::NotSent { .. } | Self::TimedOut { .. } => true,
+            Self::Exhausted { is_sent, .. } => !is_sent,
+            Self::Sent { .. } => false,
+        }
+    }
+}
+
 /// An open connection that serves one request at a time.
 #[derive(Debug)]
 pub struct Connection {
@@ -43,15 +64,19 @@
 /// drives the connection.
 ///
 /// # Errors
-/// Returns [`ExchangeError::NotSent`] if the connection is refused or not
-/// established within `timeout`.
+/// Returns an error for which [`ExchangeError::is_unsent`] holds if the connection is
+/// refused, is not established within `timeout`, or can't be opened for a local lack.
 pub async fn connect(peer: SocketAddr, timeout: Duration) -> Result<Connection, ExchangeError> {
     let not_sent = |cause: String| ExchangeError::NotSent { step: "connect", peer, cause };
     let connecting = tokio::time::timeout(timeout, TcpStream::connect(peer));
     let stream = match connecting.await {
         Ok(Ok(stream)) => stream,
+        Ok(Err(cause)) if is_local_exhaustion(&cause) => {
+            let cause = cause.to_string();
+            return Err(ExchangeError::Exhausted { step: "connect", peer, cause, is_sent: false });
+        }
         Ok(Err(cause)) => return Err(not_sent(cause.to_string())),
-        Err(_) => return Err(not_sent(format!("no connection in {} ms", timeout.as_millis()))),
+        Err(_) => return Err(ExchangeError::TimedOut { peer, waited_ms: timeout.as_millis() }),
     };
     if let Err(cause) = set_options(&stream) {
         tracing::debug!(unit = "outbound", event = "socket_option_refused", %peer, %cause);
@@ -98,7 +123,13 @@
         }
         self.sender.try_send_request(request).await.map_err(|mut error| {
             let is_unsent = error.take_message().is_some();
-            let cause = format_with_source(error.into_error());
+            let error = error.into_error();
+            let is_exhausted = is_caused_by_exhaustion(&error);
+            let cause = format_with_source(error);
+            if is_exhausted {
+                let is_sent = !is_unsent;
+                return ExchangeError::Exhausted { step: "exchange", peer, cause, is_sent };
+            }
             if is_unsent {
                 return ExchangeError::NotSent { step: "send", peer, cause };
             }
--- a/crates/outbound/src/fetch.rs
+++ b/crates/outbound/src/fetch.rs
@@ -25,6 +25,19 @@
     Timeout { peer: SocketAddr, waited_ms: u128 },
 }
 
+impl FetchError {
+    /// Whether this machine lacked resources of its own, which says nothing about the peer.
+    pub fn is_local_exhaustion(&self) -> bool {
+        matches!(self, Self::Exchange(ExchangeError::Exhausted { .. }))
+    }
+
+    /// Whether time ran out. Says nothing about the peer if the thread that waited was late
+    /// itself.
+    pub fn is_timeout(&self) -> bool {
+        matches!(self, Self::Timeout { .. } | Self::Exchange(ExchangeError::TimedOut { .. }))
+    }
+}
+
 /// Fetches response bodies from one peer, one request at a time.
 #[derive(Debug)]
 pub struct FetchClient {
--- a/crates/outbound/src/lib.rs
+++ b/crates/outbound/src/lib.rs
@@ -3,14 +3,16 @@
 //!
 //! The code that sends a request holds the connection itself, nothing is retried
 //! implicitly, and errors distinguish requests that were not sent from those that
-//! were.
+//! were, and a lack of this machine's own resources from a fault of the peer.
 
 mod connection;
+mod exhaustion;
 mod fetch;
 mod framing;
 mod pool;
 
 pub use connection::{Connection, ExchangeError, connect};
+pub use exhaustion::is_local_exhaustion;
 pub use fetch::{FetchClient, FetchError};
 pub use framing::BodyFraming;
 pub use pool::{ConnectionPool, PoolKey, PoolSettings, max_idle_connections};
--- a/crates/router/src/plain.rs
+++ b/crates/router/src/plain.rs
@@ -51,10 +51,8 @@
 
 impl From<ExchangeError> for SendError {
     fn from(error: ExchangeError) -> Self {
-        match &error {
-            ExchangeError::NotSent { .. } => Self::NotSent(error.to_string()),
-            ExchangeError::Sent { .. } => Self::MaybeSent(error.to_string()),
-        }
+        let cause = error.to_string();
+        if error.is_unsent() { Self::NotSent(cause) } else { Self::MaybeSent(cause) }
     }
 }
 
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -9,7 +9,6 @@
 
 use http::Method;
 use ntex::util::Bytes;
-use outbound::ExchangeError;
 use serde_json::Value;
 use tokio::sync::mpsc;
 
@@ -185,7 +184,7 @@
                 return Err(dispatched.refuse_outcome_unknown(RefusalCode::BadRequest));
             }
             Ok(Ok(response)) => (format!("status {}", response.status().as_u16()), false),
-            Ok(Err(cause)) => (cause.to_string(), matches!(cause, ExchangeError::NotSent { .. })),
+            Ok(Err(cause)) => (cause.to_string(), cause.is_unsent()),
             Err(_) => (format!("no answer in {ENGINE_SILENCE_MS} ms"), false),
         };
         log_failed_attempt(&dispatched.id, &permit.target, "open", *attempt, &cause);
--- a/crates/target/src/backlog.rs
+++ b/crates/target/src/backlog.rs
@@ -61,6 +61,14 @@
         }
     }
 
+    /// Removes a prompt that was added at `sent_at` and then not sent.
+    pub(crate) fn remove(&mut self, tokens: u64, sent_at: Millis) {
+        let position = self.sent.iter().position(|prompt| *prompt == (sent_at, tokens));
+        if position.and_then(|position| self.sent.remove(position)).is_some() {
+            self.tokens = (self.tokens - tokens as f64).max(0.0);
+        }
+    }
+
     /// Removes every prompt that was sent up to and including `sent_at`.
     pub(crate) fn remove_until(&mut self, sent_at: Millis, now: Millis) {
         if self.sent.front().is_none_or(|(first_sent_at, _)| *first_sent_at > sent_at) {
--- a/crates/target/src/health.rs
+++ b/crates/target/src/health.rs
@@ -45,6 +45,8 @@
     Failed,
     /// The connection could not be opened or showed no activity.
     Unreachable,
+    /// Nothing was sent, for a lack of this router's own. Says nothing about the target.
+    NotAttempted,
 }
 
 /// Health of one incarnation of a target.
@@ -69,6 +71,9 @@
         now: Millis,
     ) -> bool {
         self.probe_sent_at = None;
+        if outcome == RequestOutcome::NotAttempted {
+            return false;
+        }
         let is_failure = outcome != RequestOutcome::Answered;
         let sample = if is_failure { 1.0 } else { 0.0 };
         self.failure_rate += (sample - self.failure_rate) * settings.outcome_weight;
--- a/crates/target/src/load.rs
+++ b/crates/target/src/load.rs
@@ -340,11 +340,15 @@
         if let Some(request) = load.outstanding.remove(request) {
             let unread_tokens =
                 if request.has_first_byte { 0 } else { u64::from(request.unread_tokens) };
+            let was_attempted = outcome != Some(RequestOutcome::NotAttempted);
+            if !was_attempted {
+                load.backlog.remove(unread_tokens, request.sent_at);
+            }
             load.own.subtract(&InFlightLoad {
                 requests: 1,
                 unread_tokens,
                 memory_tokens: u64::from(request.memory_tokens),
-                sent_tokens: 0,
+                sent_tokens: if was_attempted { 0 } else { unread_tokens },
             });
         }
         outcome.is_some_and(|outcome| load.health.record_outcome(outcome, &health_settings, now))
