gateway: a lack of its own is no loss of the source

What was seen: a reader without a descriptor left told its registry that the source is lost. Targets that were removed then counted as lapsed and were used for two seconds more, and the log blamed the store.

Cause: follow_source took every failed read for a lost source.

Why it works: the client of the store names exhaustion and time-outs as variants of SourceError, and follow_source asks SourceError::is_own_lack. It logs source_not_read and tries again; read_at grows old as before, so a peer takes over the reading. A single time-out while the thread of the reader was late counts as an own lack; a second one in a row counts as a loss, since entries that expired in an outage would be removed otherwise.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use admit::{AccountShares, RetryBudget, RetrySettings, ShareSettings};
+use admit::{AccountShares, RetryBudget, RetrySettings, ShareSettings, ThreadLateness};
 use base::{Millis, MonoClock, Name, Origin};
 use cadence::StatsdClient;
 use mesh::{MemberSettings, MemberTable};
@@ -45,6 +45,8 @@
     retries: Mutex<RetryBudget>,
     members: Mutex<MemberTable>,
     source: Mutex<SourceProgress>,
+    /// Lateness of the thread that reads the source and exchanges heartbeats.
+    control_lateness: Mutex<ThreadLateness>,
     refusal_log_sampler: Mutex<LogSampler>,
     /// Triggers a heartbeat when peers should be informed at once.
     pub(crate) heartbeat_now: Notify,
@@ -112,6 +114,7 @@
             retries: Mutex::new(RetryBudget::new(retry_settings)),
             members: Mutex::new(members),
             source: Mutex::default(),
+            control_lateness: Mutex::default(),
             refusal_log_sampler: Mutex::default(),
             heartbeat_now: Notify::new(),
             shutdown: CancellationToken::new(),
@@ -164,6 +167,10 @@
         lock(&self.source)
     }
 
+    pub(crate) fn control_lateness(&self) -> MutexGuard<'_, ThreadLateness> {
+        lock(&self.control_lateness)
+    }
+
     pub(crate) fn refusal_log_sampler(&self) -> MutexGuard<'_, LogSampler> {
         lock(&self.refusal_log_sampler)
     }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::Name;
+use base::{Millis, Name};
 use mesh::{ReaderPolicy, ReaderSettings, ReaderVerdict};
 
 use crate::context::GatewayContext;
@@ -23,6 +23,7 @@
 /// Follows the source until the process stops, reading it whenever this router is
 /// chosen as a reader.
 pub(crate) async fn follow_source(context: Arc<GatewayContext>, mut source: impl StateSource) {
+    ntex::rt::spawn(watch_control_lateness(Arc::clone(&context)));
     let settings = &context.settings;
     let instance = Name::clone(&settings.instance);
     let domain = Name::clone(&settings.failure_domain);
@@ -30,6 +31,7 @@
     let mut verdict = ReaderVerdict::Follow;
     let mut needs_listing = true;
     let mut failures = 0u32;
+    let mut own_lacks = 0u32;
     while !context.shutdown.is_cancelled() {
         let next = decide_verdict(&context, &mut policy);
         if next != verdict {
@@ -44,6 +46,7 @@
             continue;
         }
         let after = context.source().revision;
+        let started_at = context.now();
         let (result, origin) = if needs_listing || after == 0 {
             (source.read_all().await, UpdateOrigin::Listing)
         } else {
@@ -58,12 +61,24 @@
                     tracing::info!(unit = "follow", event = "source_regained", failures);
                 }
                 failures = 0;
+                own_lacks = 0;
                 context.source().read_at = Some(now);
                 if apply_update(&context, update, origin) {
                     context.heartbeat_now.notify_one();
                     tokio::time::sleep(BATCH_PAUSE).await;
                 }
             }
+            // A second time-out in a row counts, so that a source that is lost while this
+            // thread is often late is noticed before its entries have expired.
+            Err(cause)
+                if cause.is_own_lack(own_lacks == 0 && was_late_since(&context, started_at)) =>
+            {
+                own_lacks += 1;
+                if own_lacks == 1 {
+                    tracing::warn!(unit = "follow", event = "source_not_read", %cause, after);
+                }
+                tokio::time::sleep(retry_pause(own_lacks)).await;
+            }
             Err(cause) => {
                 let must_list =
                     matches!(cause, SourceError::Compacted { .. } | SourceError::Restored { .. });
@@ -77,13 +92,28 @@
                 if failures == 1 {
                     tracing::warn!(unit = "follow", event = "source_lost", %cause, after);
                 }
-                let pause = RETRY_PAUSE.0 * failures.min(8);
-                tokio::time::sleep(pause.min(RETRY_PAUSE.1)).await;
+                tokio::time::sleep(retry_pause(failures)).await;
             }
         }
     }
 }
 
+fn retry_pause(failures: u32) -> Duration {
+    RETRY_PAUSE.1.min(RETRY_PAUSE.0 * failures.min(8))
+}
+
+fn was_late_since(context: &GatewayContext, since: Millis) -> bool {
+    context.control_lateness().was_overloaded_since(since, context.now())
+}
+
+/// Measures how late the thread of this task runs until the process stops.
+async fn watch_control_lateness(context: Arc<GatewayContext>) {
+    while !context.shutdown.is_cancelled() {
+        let pause_ms = context.control_lateness().tick(context.now());
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+    }
+}
+
 fn decide_verdict(context: &GatewayContext, policy: &mut ReaderPolicy) -> ReaderVerdict {
     let now = context.now();
     let peers: Vec<_> = context.members().live(now).collect();
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -108,10 +108,32 @@
     /// The source is temporarily unavailable or limits the rate of calls.
     #[error("step={step}: answered with status {status}")]
     Busy { step: &'static str, status: u16 },
+    /// This machine lacks resources of its own to read, which says nothing about the source.
+    #[error("step={step}: {cause}")]
+    Exhausted { step: &'static str, cause: String },
+    /// The source did not respond in time. Says nothing about it if the thread that waited
+    /// was late itself.
+    #[error("step={step}: {cause}")]
+    TimedOut { step: &'static str, cause: String },
     #[error("step={step}: {cause}")]
     Failed { step: &'static str, cause: String },
 }
 
+impl SourceError {
+    /// Whether the read failed for a lack of this router's own, which says nothing about
+    /// the source. `was_late` tells whether the thread was late during the read.
+    pub(crate) fn is_own_lack(&self, was_late: bool) -> bool {
+        match self {
+            Self::Exhausted { .. } => true,
+            Self::TimedOut { .. } => was_late,
+            Self::Compacted { .. }
+            | Self::Restored { .. }
+            | Self::Busy { .. }
+            | Self::Failed { .. } => false,
+        }
+    }
+}
+
 /// Where configuration and targets are published.
 pub trait StateSource {
     /// Reads everything that is published.
