gateway: settings that could not be read are not called refused

Seen: without a descriptor left, the check of the settings file logs settings_refused every two seconds, though nothing is wrong with the settings. lack_of_descriptors_refuses_no_settings failed for it. A file that can't be opened or read is now logged as settings_not_read.

--- a/crates/gateway/src/reload.rs
+++ b/crates/gateway/src/reload.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use base::SettingsError;
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::context::GatewayContext;
@@ -34,18 +35,23 @@
                     }
                     current = next;
                 }
-                Err(cause) => tracing::warn!(
-                    unit = "reload",
-                    event = "settings_refused",
-                    cause = format!("{cause:#}"),
-                    is_signalled,
-                ),
+                Err(cause) => log_error(&cause, is_signalled),
             }
         }
     });
     Ok(())
 }
 
+/// Logs why settings are not applied: a file that can't be read says nothing about them.
+fn log_error(error: &anyhow::Error, is_signalled: bool) {
+    let cause = format!("{error:#}");
+    if let Some(SettingsError::Read { .. }) = error.downcast_ref() {
+        tracing::warn!(unit = "reload", event = "settings_not_read", cause, is_signalled);
+        return;
+    }
+    tracing::warn!(unit = "reload", event = "settings_refused", cause, is_signalled);
+}
+
 fn read_settings(file: &std::path::Path) -> anyhow::Result<GatewaySettings> {
     let settings: GatewaySettings = base::load_settings(file)?;
     settings.check()?;
