mesh: time in which a router did not run is no silence of its peers

What was seen: a gateway that was stopped for over a second declared its live peers lost as soon as it ran again, forgot their loads, and after 30 seconds forgot the peers themselves.

Cause: the task that sends heartbeats judged the peers by their last received heartbeat before the task that receives them had read those that waited in the socket.

Why it works: the table knows when its rounds of heartbeats are due. What a round is overdue by more than an interval does not count towards the age of a peer, neither before the next round nor after it, so waiting heartbeats are read first, and a peer that is really dead is lost within the usual time after the pause. Loads of peers do not expire in that round.

--- a/crates/gateway/src/beats.rs
+++ b/crates/gateway/src/beats.rs
@@ -46,6 +46,10 @@
 async fn send_heartbeats(context: Arc<GatewayContext>, socket: Arc<UdpSocket>) {
     while !context.shutdown.is_cancelled() {
         let now = context.now();
+        let own_pause_ms = context.members().own_pause(now);
+        if own_pause_ms > 0 {
+            tracing::warn!(unit = "beats", event = "paused", own_pause_ms);
+        }
         let heartbeat = encode_heartbeat(&context);
         let receivers = context.members().receivers(now);
         for receiver in receivers {
@@ -61,7 +65,10 @@
         context.retries().set_router_count(routers, now);
         let liveness_timeout = context.members().liveness_timeout();
         context.shares().set_peer_max_age(liveness_timeout);
-        context.loads().expire_peers(liveness_timeout, now);
+        // After a pause of this router, the messages of its peers wait in its socket.
+        if own_pause_ms == 0 {
+            context.loads().expire_peers(liveness_timeout, now);
+        }
         let interval = Duration::from_millis(context.members().heartbeat_interval());
         tokio::select! {
             () = tokio::time::sleep(interval) => {}
--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -6,6 +6,9 @@
 //! itself. A peer is live as long as its heartbeats arrive; no other state decides
 //! this, so a restart of all routers at once is not a special case. The heartbeat
 //! interval grows with the fleet, which bounds the cost for each router.
+//!
+//! While this router does not run, heartbeats of its peers wait in its socket, so
+//! silence then says nothing about them: that time does not count towards their age.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -108,6 +111,8 @@
     sequence: u64,
     /// Index of the live peer that the next sample starts at.
     next_sample: usize,
+    /// When the last round of heartbeats began.
+    round_at: Option<Millis>,
 }
 
 impl MemberTable {
@@ -127,6 +132,7 @@
             own_address,
             sequence: 0,
             next_sample: 0,
+            round_at: None,
         };
         table.set_seeds(seeds, 0);
         table
@@ -156,6 +162,7 @@
             }
         }
         let liveness_timeout = self.liveness_timeout();
+        let running_now = self.running_now(now);
         let Some(peer) = self.peers.get_mut(&header.origin.instance) else {
             let instance = Name::clone(&header.origin.instance);
             let retired = VecDeque::new();
@@ -179,7 +186,7 @@
         if header.sequence <= peer.header.sequence {
             return HeartbeatOutcome::Ignored;
         }
-        let was_lost = now.saturating_sub(peer.received_at) > liveness_timeout;
+        let was_lost = running_now.saturating_sub(peer.received_at) > liveness_timeout;
         let changed = header.is_draining != peer.header.is_draining
             || header.source.revision != peer.header.source.revision;
         peer.header = header;
@@ -206,9 +213,25 @@
         self.sequence
     }
 
-    /// Returns the addresses that get the next heartbeat, and removes peers and
-    /// candidates that are out of date.
+    /// Returns for how many milliseconds this router has not run: since its round of
+    /// heartbeats was due, if that is over an interval ago, otherwise 0.
+    pub fn own_pause(&self, now: Millis) -> Millis {
+        let Some(round_at) = self.round_at else { return 0 };
+        let interval = self.heartbeat_interval();
+        let overdue = now.saturating_sub(round_at + interval);
+        if overdue > interval { overdue } else { 0 }
+    }
+
+    /// Returns `now` without the pause of this router, for the age of what it received
+    /// before.
+    fn running_now(&self, now: Millis) -> Millis {
+        now - self.own_pause(now)
+    }
+
+    /// Begins a round of heartbeats: returns the addresses that get one, and removes
+    /// peers and candidates that are out of date.
     pub fn receivers(&mut self, now: Millis) -> Vec<SocketAddr> {
+        self.skip_own_pause(now);
         let remove_after = self.settings.remove_after;
         self.peers.retain(|_, peer| now.saturating_sub(peer.received_at) <= remove_after);
         self.candidates.retain(|_, candidate| {
@@ -229,6 +252,19 @@
         receivers
     }
 
+    /// Moves what was received before a pause of this router to after it, so that peers
+    /// keep the age that they had.
+    fn skip_own_pause(&mut self, now: Millis) {
+        let pause = self.own_pause(now);
+        for peer in self.peers.values_mut() {
+            peer.received_at = now.min(peer.received_at + pause);
+        }
+        for candidate in self.candidates.values_mut() {
+            candidate.listed_at = now.min(candidate.listed_at + pause);
+        }
+        self.round_at = Some(now);
+    }
+
     /// Returns some live peers to list in the next heartbeat, different ones each
     /// time.
     pub fn sample_live_peers(&mut self, now: Millis) -> Vec<SocketAddr> {
@@ -245,8 +281,9 @@
     /// Returns the live peers.
     pub fn live(&self, now: Millis) -> impl Iterator<Item = MemberView> {
         let liveness_timeout = self.liveness_timeout();
+        let running_now = self.running_now(now);
         self.peers.values().filter_map(move |peer| {
-            let age = now.saturating_sub(peer.received_at);
+            let age = running_now.saturating_sub(peer.received_at);
             (age <= liveness_timeout).then(|| MemberView {
                 origin: peer.header.origin.clone(),
                 domain: Name::clone(&peer.header.domain),
@@ -261,9 +298,10 @@
     /// Returns the peers that ceased to be live since the last call.
     pub fn newly_lost(&mut self, now: Millis) -> Vec<Name> {
         let liveness_timeout = self.liveness_timeout();
+        let running_now = self.running_now(now);
         let mut lost = Vec::new();
         for (name, peer) in &mut self.peers {
-            if !peer.is_lost && now.saturating_sub(peer.received_at) > liveness_timeout {
+            if !peer.is_lost && running_now.saturating_sub(peer.received_at) > liveness_timeout {
                 peer.is_lost = true;
                 lost.push(Name::clone(name));
             }
--- a/crates/mesh/tests/membership.rs
+++ b/crates/mesh/tests/membership.rs
@@ -241,7 +241,6 @@
 /// Guards against live peers that are declared lost, or removed, by a router that did not
 /// run for a while itself: their heartbeats wait in its socket.
 #[test]
-#[ignore = "known to fail, see KNOWN-RED.txt"]
 fn own_pause_is_no_loss_of_a_peer() {
     for pause in [2_000, 60_000] {
         let settings = MemberSettings::default();
@@ -266,7 +265,6 @@
 /// Guards against a heartbeat that waited during a pause of this router and is taken for
 /// that of a peer which had been lost, as it is read before the next round.
 #[test]
-#[ignore = "known to fail, see KNOWN-RED.txt"]
 fn heartbeat_read_after_an_own_pause_is_of_a_known_peer() {
     let settings = MemberSettings::default();
     let mut table = MemberTable::new(origin(0, 1), address(0), &[], settings);
@@ -282,7 +280,6 @@
 /// A peer that died during a pause of this router, or after it, is lost in the usual time
 /// after the pause.
 #[test]
-#[ignore = "known to fail, see KNOWN-RED.txt"]
 fn dead_peer_is_lost_after_an_own_pause() {
     let settings = MemberSettings::default();
     let mut table = MemberTable::new(origin(0, 1), address(0), &[], settings);
