--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -122,7 +122,7 @@
 impl SourceError {
     /// Whether the read failed for a lack of this router's own, which says nothing about
     /// the source. `was_late` tells whether the thread was late during the read.
-    pub(crate) fn is_own_lack(&self, was_late: bool) -> bool {
+    pub fn is_own_lack(&self, was_late: bool) -> bool {
         match self {
             Self::Exhausted { .. } => true,
             Self::TimedOut { .. } => was_late,
