--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,5 +1,5 @@
-//! Development tasks: `cargo xtask cost`, `demo`, `latency`, `measure`, `slopes` and
-//! `test`.
+//! Development tasks: `cargo xtask cost`, `demo`, `latency`, `measure`, `memory`,
+//! `slopes` and `test`.
 
 use std::process::Command;
 
@@ -13,22 +13,21 @@
     Demo { keep: bool },
     Latency,
     Measure(MeasureOptions),
+    Memory,
     Slopes { seconds: u64 },
     Test,
 }
 
 fn main() -> anyhow::Result<()> {
     match parser().run() {
-        Task::Cost => {
-            run_cargo(&["build", "--quiet", "--release", "--workspace"])?;
-            run_cargo(&["bench", "--quiet", "--package", "poplar-platform", "--bench", "cost"])
-        }
+        Task::Cost => run_gateway_bench("cost"),
         Task::Demo { keep } => {
             run_cargo(&["build", "--quiet", "--workspace"])?;
             bench::run_demo(keep)
         }
         Task::Latency => run_optimized(bench::run_latency),
         Task::Measure(options) => run_optimized(|| bench::run_measure(options)),
+        Task::Memory => run_gateway_bench("memory"),
         Task::Slopes { seconds } => run_optimized(|| bench::run_slopes(seconds)),
         Task::Test => run_tests(),
     }
@@ -53,6 +52,10 @@
         .to_options()
         .descr("Runs load scenarios on real processes and prints a JSON line for each run")
         .command("measure");
+    let memory = bpaf::pure(Task::Memory)
+        .to_options()
+        .descr("Measures the gateway's memory for open connections and requests")
+        .command("memory");
     let seconds = long("seconds").help("length of each run").argument("T").fallback(15);
     let slopes = construct!(Task::Slopes { seconds })
         .to_options()
@@ -62,7 +65,7 @@
         .to_options()
         .descr("Checks format and lints, and runs all tests")
         .command("test");
-    construct!([cost, demo, latency, measure, slopes, test])
+    construct!([cost, demo, latency, measure, memory, slopes, test])
         .to_options()
         .descr("Development tasks of poplarspring")
 }
@@ -90,6 +93,12 @@
     run_cargo(&run_arguments)
 }
 
+/// Runs a benchmark of the gateway's release build.
+fn run_gateway_bench(name: &str) -> anyhow::Result<()> {
+    run_cargo(&["build", "--quiet", "--release", "--workspace"])?;
+    run_cargo(&["bench", "--quiet", "--package", "poplar-platform", "--bench", name])
+}
+
 fn run_tests() -> anyhow::Result<()> {
     run_cargo(&["fmt", "--all", "--check"])?;
     run_cargo(&["clippy", "--quiet", "--workspace", "--all-targets", "--", "--deny", "warnings"])?;
