--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -9,11 +9,12 @@
 use base::{Millis, Name};
 use http::{Method, Version};
 use hyper::body::Bytes;
-use ntex::http::{HeaderMap, Payload, Request};
+use ntex::http::{HeaderMap, Request};
 use ntex::util::BytesMut;
 use route::{RouteSpec, RouteTable};
 use target::RequestProfile;
 
+use crate::body::BodyReader;
 use crate::context::GatewayContext;
 use crate::platform::CallMetadata;
 use crate::refusal::{Refusal, RefusalCause};
@@ -172,11 +173,11 @@
     /// # Errors
     /// Refuses the request if the body is too large, arrives too slowly or breaks
     /// off.
-    pub(crate) async fn read_body(&self, mut payload: Payload) -> Result<Bytes, Refusal> {
+    pub(crate) async fn read_body(&self, mut reader: BodyReader) -> Result<Bytes, Refusal> {
         let max_bytes = self.table.limits.body_bytes;
         let reading = async {
             let mut body = BytesMut::new();
-            while let Some(chunk) = payload.recv().await {
+            while let Some(chunk) = reader.next_chunk().await {
                 let chunk = chunk.map_err(|_| Refusal::new(RefusalCause::BadRequest))?;
                 if body.len() + chunk.len() > max_bytes {
                     return Err(Refusal::new(RefusalCause::BodyTooLarge));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! `platform` adapt the gateway to a platform.
 
 mod beats;
+mod body;
 mod call;
 mod context;
 mod follow;
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -5,11 +5,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ntex::http::{ConnectionType, Payload, Request, Response};
+use ntex::http::{ConnectionType, Request, Response};
 use ntex::io::IoRef;
 use ntex::util::Bytes;
 use tokio::time::Instant;
 
+use crate::body::BodyReader;
 use crate::call::{AdmittedCall, ReceivedCall};
 use crate::headers::end_to_end_headers;
 use crate::reader::ResponseReader;
@@ -52,26 +53,26 @@
         let id = id.as_deref().map(|id| (context.format.id_header(), id));
         refusal.into_response(id, context.is_draining())
     };
-    let mut payload = request.take_payload();
+    let mut body = BodyReader::new(&mut request);
     if context.is_closed() {
-        discard_body(&mut payload).await;
+        discard_body(&mut body).await;
         let refusal = Refusal::retry_after(RefusalCause::Draining, DRAINING_RETRY_MS);
         return refuse(&mut report, refusal);
     }
     let overload_lateness = worker.lateness.borrow().overload_lateness(context.now());
     if let Some(late_ms) = overload_lateness {
-        discard_body(&mut payload).await;
+        discard_body(&mut body).await;
         return refuse(&mut report, Refusal::retry_after(RefusalCause::RouterLate, late_ms));
     }
     let routed = match received.route(context) {
         Ok(routed) => routed,
         Err(refusal) => {
-            discard_body(&mut payload).await;
+            discard_body(&mut body).await;
             return refuse(&mut report, refusal);
         }
     };
     report.record_route(&routed);
-    let body = match routed.read_body(payload).await {
+    let body = match routed.read_body(body).await {
         Ok(body) => body,
         Err(refusal) => return refuse(&mut report, refusal),
     };
@@ -116,10 +117,10 @@
     response
 }
 
-async fn discard_body(payload: &mut Payload) {
+async fn discard_body(body: &mut BodyReader) {
     let reading = async {
         let mut discarded = 0;
-        while let Some(Ok(chunk)) = payload.recv().await {
+        while let Some(Ok(chunk)) = body.next_chunk().await {
             discarded += chunk.len();
             if discarded > MAX_DISCARDED_BYTES {
                 return;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 
 use http::{Method, StatusCode};
-use ntex::http::{Payload, Request, Response};
+use ntex::http::{Request, Response};
 use ntex::util::{Bytes, BytesMut};
 
+use crate::body::BodyReader;
 use crate::context::GatewayContext;
 use crate::messages::{CHANGES_PATH, ChangesRequest};
 use crate::relay::RelayBody;
@@ -60,7 +61,7 @@
     if request.path() != CHANGES_PATH || request.method() != Method::POST {
         return empty_response(StatusCode::NOT_FOUND);
     }
-    let Some(body) = read_limited_body(request.take_payload()).await else {
+    let Some(body) = read_limited_body(BodyReader::new(&mut request)).await else {
         return empty_response(StatusCode::BAD_REQUEST);
     };
     let Ok(changes_request) = rmp_serde::from_slice::<ChangesRequest>(&body) else {
@@ -80,9 +81,9 @@
     full_response("text/plain; version=0.0.4", text.into_bytes())
 }
 
-async fn read_limited_body(mut payload: Payload) -> Option<Bytes> {
+async fn read_limited_body(mut reader: BodyReader) -> Option<Bytes> {
     let mut body = BytesMut::new();
-    while let Some(chunk) = payload.recv().await {
+    while let Some(chunk) = reader.next_chunk().await {
         body.extend_from_slice(&chunk.ok()?);
         if body.len() > MAX_PEER_REQUEST_BYTES {
             return None;
