gateway: a peer's request has one second for its body

A body that trickled kept its connection open as long as its sender liked (open after 20 s in requests_that_trickle_without_end_are_closed).

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -2,6 +2,7 @@
 //! address queries, peers and metrics.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::{Method, StatusCode};
 use ntex::http::{Request, Response};
@@ -20,6 +21,8 @@
 const MAX_ADDRESSES: usize = 64;
 /// Largest request body of a peer, in bytes.
 const MAX_PEER_REQUEST_BYTES: usize = 4 << 10;
+/// Time that a peer may take to send a complete body. It waits less long for its answer.
+const PEER_BODY_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Handles a readiness check. The router is ready if it has a configuration and
 /// is not draining.
@@ -61,7 +64,8 @@
     if request.path() != CHANGES_PATH || request.method() != Method::POST {
         return empty_response(StatusCode::NOT_FOUND);
     }
-    let Some(body) = read_limited_body(BodyReader::new(&mut request)).await else {
+    let reading = read_limited_body(BodyReader::new(&mut request));
+    let Ok(Some(body)) = tokio::time::timeout(PEER_BODY_TIMEOUT, reading).await else {
         return empty_response(StatusCode::BAD_REQUEST);
     };
     let Ok(changes_request) = rmp_serde::from_slice::<ChangesRequest>(&body) else {
