--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -2,11 +2,13 @@
 //! address queries, peers and metrics.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::{Method, StatusCode};
-use ntex::http::{Payload, Request, Response};
+use ntex::http::{Request, Response};
 use ntex::util::{Bytes, BytesMut};
 
+use crate::body::BodyReader;
 use crate::context::GatewayContext;
 use crate::messages::{CHANGES_PATH, ChangesRequest};
 use crate::relay::RelayBody;
@@ -19,6 +21,8 @@
 const MAX_ADDRESSES: usize = 64;
 /// Largest request body of a peer, in bytes.
 const MAX_PEER_REQUEST_BYTES: usize = 4 << 10;
+/// Time that a peer may take to send a complete body. It waits less long for its answer.
+const PEER_BODY_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Handles a readiness check. The router is ready if it has a configuration and
 /// is not draining.
@@ -60,7 +64,8 @@
     if request.path() != CHANGES_PATH || request.method() != Method::POST {
         return empty_response(StatusCode::NOT_FOUND);
     }
-    let Some(body) = read_limited_body(request.take_payload()).await else {
+    let reading = read_limited_body(BodyReader::new(&mut request));
+    let Ok(Some(body)) = tokio::time::timeout(PEER_BODY_TIMEOUT, reading).await else {
         return empty_response(StatusCode::BAD_REQUEST);
     };
     let Ok(changes_request) = rmp_serde::from_slice::<ChangesRequest>(&body) else {
@@ -80,9 +85,9 @@
     full_response("text/plain; version=0.0.4", text.into_bytes())
 }
 
-async fn read_limited_body(mut payload: Payload) -> Option<Bytes> {
+async fn read_limited_body(mut reader: BodyReader) -> Option<Bytes> {
     let mut body = BytesMut::new();
-    while let Some(chunk) = payload.recv().await {
+    while let Some(chunk) = reader.next_chunk().await {
         body.extend_from_slice(&chunk.ok()?);
         if body.len() > MAX_PEER_REQUEST_BYTES {
             return None;
