fix: a gateway accepts callers only as fast as it serves them

Cause: everything was accepted and read before it was decided on. A refusal costs over half of serving, so the instance spent its processor on refusals, and a 503 keeps its callers where they are.

Change: - connections are accepted on another thread than the one that serves them, and wait unaccepted while that thread is 100 ms late (admit::AcceptPolicy); - an instance that is over a limit for 100 ms is saturated: it is not ready, not in address responses, and says so in its heartbeats, until it has been on time for 8 s, doubling up to 64 s; not while over half of the failure domain is; - connections are limited by descriptors and memory (settings `resources`), and the longest idle ones are closed close to the limit.

What moves them is an instance that is not ready.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -1,11 +1,13 @@
 //! Admission control: max-min fair shares of client accounts over the fleet, the
-//! retry budget, and overload detection of a router. Does no I/O.
+//! retry budget, overload detection of a router and what it accepts. Does no I/O.
 
+mod accept;
 mod lateness;
 mod retries;
 mod shares;
 mod window;
 
+pub use accept::{AcceptPolicy, AcceptSettings};
 pub use lateness::{LatenessSettings, ThreadLateness};
 pub use retries::{RetryBudget, RetrySettings};
 pub use shares::{AccountDemand, AccountShares, ShareSettings, ShareVerdict, water_level};
--- a/crates/gateway/src/beats.rs
+++ b/crates/gateway/src/beats.rs
@@ -18,7 +18,8 @@
 use crate::context::GatewayContext;
 use crate::messages::{
     CHANGES_PATH, ChangesRequest, ChangesResponse, HeartbeatNotice, HeartbeatPayload,
-    MAX_CHANGES_BYTES, MAX_HEARTBEAT_BYTES, append_notice, decode_heartbeat,
+    MAX_CHANGES_BYTES, MAX_HEARTBEAT_BYTES, PeerDatagram, RouterCondition, append_notice,
+    decode_heartbeat,
 };
 use crate::platform::SourceUpdate;
 use crate::view::{UpdateOrigin, apply_update};
@@ -68,6 +69,7 @@
         // After a pause of this router, the messages of its peers wait in its socket.
         if own_pause_ms == 0 {
             context.loads().expire_peers(liveness_timeout, now);
+            context.accept_policy().expire_others(liveness_timeout, now);
         }
         let interval = Duration::from_millis(context.members().heartbeat_interval());
         tokio::select! {
@@ -108,12 +110,13 @@
     drop(members);
     let mut heartbeat = Heartbeat { header, payload: HeartbeatPayload { accounts, targets } };
     let notice = HeartbeatNotice { totals: context.loads().own_totals() };
+    let condition = RouterCondition { is_saturated: context.accept_policy().is_saturated() };
     loop {
         let mut bytes = rmp_serde::to_vec(&heartbeat).unwrap_or_else(|cause| {
             tracing::error!(unit = "beats", event = "not_encoded", %cause);
             Vec::new()
         });
-        append_notice(&mut bytes, &notice);
+        append_notice(&mut bytes, &notice, condition);
         let payload = &mut heartbeat.payload;
         if bytes.len() <= MAX_HEARTBEAT_BYTES
             || (payload.accounts.is_empty() && payload.targets.is_empty())
@@ -144,11 +147,9 @@
             }
         };
         match decode_heartbeat(&buffer[..length]) {
-            Ok((heartbeat, notice)) => {
-                let peer = heartbeat.header.addresses.beats;
-                if handle_heartbeat(&context, heartbeat, notice, &fetch_sender)
-                    == HeartbeatOutcome::Joined
-                {
+            Ok(datagram) => {
+                let peer = datagram.heartbeat.header.addresses.beats;
+                if handle_heartbeat(&context, datagram, &fetch_sender) == HeartbeatOutcome::Joined {
                     // Replies at once, so that a router that has just started
                     // need not wait for the next heartbeat to learn of its peers.
                     if let Err(cause) = socket.send_to(&encode_heartbeat(&context), peer).await {
@@ -165,12 +166,13 @@
 
 fn handle_heartbeat(
     context: &GatewayContext,
-    heartbeat: Heartbeat<HeartbeatPayload>,
-    notice: Option<HeartbeatNotice>,
+    datagram: PeerDatagram,
     fetch_sender: &mpsc::Sender<SocketAddr>,
 ) -> HeartbeatOutcome {
     let now = context.now();
+    let PeerDatagram { heartbeat, notice, condition } = datagram;
     let Heartbeat { header, payload } = heartbeat;
+    let serves_same_callers = header.domain == context.settings.failure_domain;
     let peer = Name::clone(&header.origin.instance);
     let addresses = header.addresses;
     let revision = header.source.revision;
@@ -198,6 +200,9 @@
     if let Some(notice) = notice {
         context.loads().update_peer_totals(&peer, notice.totals);
     }
+    if serves_same_callers && !is_draining {
+        context.accept_policy().record_other(peer, condition.is_saturated, now);
+    }
     if revision > context.source().revision {
         // If the channel is full, a fetch is already pending.
         let _ = fetch_sender.try_send(addresses.peers);
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -5,7 +5,10 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use admit::{AccountShares, RetryBudget, RetrySettings, ShareSettings, ThreadLateness};
+use admit::{
+    AcceptPolicy, AcceptSettings, AccountShares, RetryBudget, RetrySettings, ShareSettings,
+    ThreadLateness,
+};
 use base::{Millis, MonoClock, Name, Origin};
 use cadence::StatsdClient;
 use mesh::{MemberSettings, MemberTable};
@@ -43,6 +46,9 @@
     loads: Mutex<LoadTracker>,
     shares: Mutex<AccountShares>,
     retries: Mutex<RetryBudget>,
+    accept_policy: Mutex<AcceptPolicy>,
+    /// Lateness of the thread that serves callers.
+    lateness: Mutex<ThreadLateness>,
     members: Mutex<MemberTable>,
     source: Mutex<SourceProgress>,
     /// Lateness of the thread that reads the source and exchanges heartbeats.
@@ -59,9 +65,6 @@
     open_calls: AtomicUsize,
     /// Connections of callers that are accepted and not closed.
     open_connections: AtomicUsize,
-    /// Open requests whose body was received, and the bytes of these bodies.
-    held_bodies: AtomicUsize,
-    held_body_bytes: AtomicUsize,
     /// Number of live routers, including this one.
     router_count: AtomicUsize,
 }
@@ -102,6 +105,10 @@
             window_ms: millis(bounds.repeat_window_s),
             ..RetrySettings::default()
         };
+        let accept_settings = AcceptSettings {
+            max_connections: settings.resources.max_caller_connections(),
+            ..AcceptSettings::default()
+        };
         let heartbeat_address = settings.listen.beats;
         let seeds = heartbeat_addresses(&settings.seeds, heartbeat_address.port());
         let members =
@@ -117,6 +124,8 @@
             loads: Mutex::default(),
             shares: Mutex::new(AccountShares::new(share_settings)),
             retries: Mutex::new(RetryBudget::new(retry_settings)),
+            lateness: Mutex::default(),
+            accept_policy: Mutex::new(AcceptPolicy::new(accept_settings)),
             members: Mutex::new(members),
             source: Mutex::default(),
             control_lateness: Mutex::default(),
@@ -127,8 +136,6 @@
             is_closed: AtomicBool::new(false),
             open_calls: AtomicUsize::new(0),
             open_connections: AtomicUsize::new(0),
-            held_bodies: AtomicUsize::new(0),
-            held_body_bytes: AtomicUsize::new(0),
             router_count: AtomicUsize::new(1),
         })
     }
@@ -167,6 +174,14 @@
         lock(&self.retries)
     }
 
+    pub(crate) fn accept_policy(&self) -> MutexGuard<'_, AcceptPolicy> {
+        lock(&self.accept_policy)
+    }
+
+    pub(crate) fn lateness(&self) -> MutexGuard<'_, ThreadLateness> {
+        lock(&self.lateness)
+    }
+
     pub(crate) fn members(&self) -> MutexGuard<'_, MemberTable> {
         lock(&self.members)
     }
@@ -217,43 +232,22 @@
     pub(crate) fn open_connections(&self) -> usize {
         self.open_connections.load(Ordering::Relaxed)
     }
-
-    /// Returns how many open requests have their body, and the bytes of these bodies.
-    pub(crate) fn held_bodies(&self) -> (usize, usize) {
-        let bytes = self.held_body_bytes.load(Ordering::Relaxed);
-        (self.held_bodies.load(Ordering::Relaxed), bytes)
-    }
 }
 
-/// Counts a request as open, and its body as held, until the guard is dropped.
+/// Counts a request as open until the guard is dropped.
 #[derive(Debug)]
-pub(crate) struct OpenCall {
-    context: Arc<GatewayContext>,
-    /// Bytes of the body, once it was received.
-    body_bytes: Option<usize>,
-}
+pub(crate) struct OpenCall(Arc<GatewayContext>);
 
 impl OpenCall {
     pub(crate) fn new(context: &Arc<GatewayContext>) -> Self {
         context.open_calls.fetch_add(1, Ordering::Relaxed);
-        Self { context: Arc::clone(context), body_bytes: None }
-    }
-
-    /// Counts the body of the request as held.
-    pub(crate) fn record_body(&mut self, bytes: usize) {
-        self.body_bytes = Some(bytes);
-        self.context.held_bodies.fetch_add(1, Ordering::Relaxed);
-        self.context.held_body_bytes.fetch_add(bytes, Ordering::Relaxed);
+        Self(Arc::clone(context))
     }
 }
 
 impl Drop for OpenCall {
     fn drop(&mut self) {
-        self.context.open_calls.fetch_sub(1, Ordering::Relaxed);
-        if let Some(bytes) = self.body_bytes {
-            self.context.held_bodies.fetch_sub(1, Ordering::Relaxed);
-            self.context.held_body_bytes.fetch_sub(bytes, Ordering::Relaxed);
-        }
+        self.0.open_calls.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,9 +6,11 @@
 //! `pipeline` shows how a request is processed, from start to end. The traits in
 //! `platform` adapt the gateway to a platform.
 
+mod accept;
 mod beats;
 mod body;
 mod call;
+mod connections;
 mod context;
 mod follow;
 mod headers;
@@ -36,4 +38,6 @@
     SourceUpdate, StateSource,
 };
 pub use run::run;
-pub use settings::{AdmissionSettings, BoundSettings, GatewaySettings, ListenSettings};
+pub use settings::{
+    AdmissionSettings, BoundSettings, GatewaySettings, ListenSettings, ResourceSettings,
+};
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -4,6 +4,7 @@
 use base::{Millis, Name};
 use mesh::Heartbeat;
 use route::RouteTable;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use target::{InFlightLoad, InFlightTotals, TargetIdHash, TargetRecord};
 
@@ -29,29 +30,55 @@
     pub(crate) totals: InFlightTotals,
 }
 
-/// Appends `notice` to an encoded heartbeat.
-pub(crate) fn append_notice(datagram: &mut Vec<u8>, notice: &HeartbeatNotice) {
-    if let Err(cause) = rmp_serde::encode::write(datagram, notice) {
+/// State of the router itself. It follows the notice in the same datagram, where
+/// routers of earlier versions do not read it.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub(crate) struct RouterCondition {
+    /// Whether the router serves its callers late and should get no more of them.
+    pub(crate) is_saturated: bool,
+}
+
+/// A decoded datagram of another router.
+#[derive(Debug)]
+pub(crate) struct PeerDatagram {
+    pub(crate) heartbeat: Heartbeat<HeartbeatPayload>,
+    pub(crate) notice: Option<HeartbeatNotice>,
+    pub(crate) condition: RouterCondition,
+}
+
+/// Appends what follows an encoded heartbeat.
+pub(crate) fn append_notice(
+    datagram: &mut Vec<u8>,
+    notice: &HeartbeatNotice,
+    condition: RouterCondition,
+) {
+    let result = rmp_serde::encode::write(datagram, notice);
+    if let Err(cause) = result.and_then(|()| rmp_serde::encode::write(datagram, &condition)) {
         tracing::error!(unit = "beats", event = "not_encoded", %cause);
     }
 }
 
-/// Decodes a heartbeat, and the notice that follows it, if there is one.
+/// Decodes a heartbeat and what follows it.
 ///
 /// # Errors
 /// Returns an error if the datagram does not start with a heartbeat.
-pub(crate) fn decode_heartbeat(
-    datagram: &[u8],
-) -> Result<(Heartbeat<HeartbeatPayload>, Option<HeartbeatNotice>), rmp_serde::decode::Error> {
+pub(crate) fn decode_heartbeat(datagram: &[u8]) -> Result<PeerDatagram, rmp_serde::decode::Error> {
     let mut rest = datagram;
     let heartbeat = rmp_serde::from_read(&mut rest)?;
+    let notice = decode_part(&mut rest);
+    let condition = decode_part(&mut rest).unwrap_or_default();
+    Ok(PeerDatagram { heartbeat, notice, condition })
+}
+
+/// Decodes the next part of a datagram; `None` if it ends or is not understood.
+fn decode_part<T: DeserializeOwned>(rest: &mut &[u8]) -> Option<T> {
     if rest.is_empty() {
-        return Ok((heartbeat, None));
+        return None;
     }
-    let notice = rmp_serde::from_slice(rest).inspect_err(|cause| {
+    let part = rmp_serde::from_read(rest).inspect_err(|cause| {
         tracing::debug!(unit = "beats", event = "notice_not_understood", %cause);
     });
-    Ok((heartbeat, notice.ok()))
+    part.ok()
 }
 
 /// Asks a peer for the changes after a revision.
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -6,12 +6,12 @@
 use std::time::Duration;
 
 use ntex::http::{ConnectionType, Request, Response};
-use ntex::io::IoRef;
 use ntex::util::Bytes;
 use tokio::time::Instant;
 
 use crate::body::BodyReader;
 use crate::call::{AdmittedCall, ReceivedCall};
+use crate::connections::BusyConnection;
 use crate::headers::end_to_end_headers;
 use crate::reader::ResponseReader;
 use crate::refusal::{Refusal, RefusalCause};
@@ -43,7 +43,7 @@
 /// Handles one request.
 pub(crate) async fn serve(worker: Rc<Worker>, mut request: Request) -> Response<RelayBody> {
     let context = &worker.context;
-    let io = request.io().cloned();
+    let connection = request.io().map(|io| worker.begin_request(io));
     let caller = request.peer_addr().map(|address| address.ip());
     let received = ReceivedCall::read(context, &mut request);
     let mut report = CallReport::new(context, received.id(), caller, received.received_at);
@@ -59,7 +59,7 @@
         let refusal = Refusal::retry_after(RefusalCause::Draining, DRAINING_RETRY_MS);
         return refuse(&mut report, refusal);
     }
-    let overload_lateness = worker.lateness.borrow().overload_lateness(context.now());
+    let overload_lateness = context.lateness().overload_lateness(context.now());
     if let Some(late_ms) = overload_lateness {
         discard_body(&mut body).await;
         return refuse(&mut report, Refusal::retry_after(RefusalCause::RouterLate, late_ms));
@@ -76,7 +76,6 @@
         Ok(body) => body,
         Err(refusal) => return refuse(&mut report, refusal),
     };
-    report.record_body(body.len());
     let admitted = share::admit(context, routed, body);
     report.record_admission(&admitted);
     let mut attempts = Attempts::default();
@@ -109,7 +108,7 @@
         }
         ReadyResponse::Stream(stream) => {
             report.record_first_byte(stream.head().status.as_u16());
-            stream_response(&worker, admitted, attempts, *stream, io, deadline, report)
+            stream_response(&worker, admitted, attempts, *stream, connection, deadline, report)
         }
     };
     if context.is_draining() {
@@ -186,13 +185,14 @@
     call: AdmittedCall,
     attempts: Attempts,
     stream: OpenStream,
-    io: Option<IoRef>,
+    connection: Option<BusyConnection>,
     deadline: Instant,
     report: CallReport,
 ) -> Response<RelayBody> {
     let status = stream.head().status;
     let headers = end_to_end_headers(&stream.head().headers);
-    let relay = StreamRelay::new(Rc::clone(worker), call, attempts, stream, io, deadline, report);
+    let relay =
+        StreamRelay::new(Rc::clone(worker), call, attempts, stream, connection, deadline, report);
     let mut response = Response::with_body(status, relay.into_body());
     response.head_mut().headers = headers;
     response
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -19,6 +19,7 @@
 use tokio::time::Instant;
 
 use crate::call::AdmittedCall;
+use crate::connections::BusyConnection;
 use crate::headers::is_event_stream;
 use crate::reader::ResponseReader;
 use crate::report::{CallEnd, CallReport};
@@ -84,7 +85,7 @@
     first_chunk: Option<hyper::body::Bytes>,
     /// Set only for streams that may be resumed from another target.
     splitter: Option<EventSplitter>,
-    io: Option<IoRef>,
+    connection: Option<BusyConnection>,
     deadline: Instant,
     report: CallReport,
 }
@@ -112,7 +113,7 @@
         call: AdmittedCall,
         attempts: Attempts,
         stream: OpenStream,
-        io: Option<IoRef>,
+        connection: Option<BusyConnection>,
         deadline: Instant,
         report: CallReport,
     ) -> Self {
@@ -126,7 +127,7 @@
             reader: Some(reader),
             first_chunk,
             splitter,
-            io,
+            connection,
             deadline,
             report,
         }
@@ -150,9 +151,11 @@
                 Err(cause) => {
                     // ntex would write an error response into the incomplete
                     // one, so the connection is closed instead.
-                    let Some(io) = relay.io.take() else { return Some((Err(cause), None)) };
+                    let Some(connection) = relay.connection.take() else {
+                        return Some((Err(cause), None));
+                    };
                     drop(relay);
-                    close_connection(&io).await
+                    close_connection(connection.io()).await
                 }
             }
         });
@@ -201,7 +204,7 @@
         tokio::select! {
             biased;
             bytes = reader.next_bytes() => Ok(bytes),
-            () = caller_left(self.io.as_ref()) => {
+            () = caller_left(self.connection.as_ref()) => {
                 self.report.finish(CallEnd::Left, "caller closed its connection");
                 Err(RelayError::CallerLeft)
             }
@@ -242,7 +245,7 @@
         let retry = send(&self.worker, &self.call, &mut self.attempts);
         let result = tokio::select! {
             exchange = retry => exchange,
-            () = caller_left(self.io.as_ref()) => return Err(RelayError::CallerLeft),
+            () = caller_left(self.connection.as_ref()) => return Err(RelayError::CallerLeft),
             () = tokio::time::sleep_until(self.deadline) => {
                 return fail(&mut self.report, format!("{cause}, then no target in time"));
             }
@@ -297,10 +300,10 @@
 }
 
 /// Waits until the caller's connection is closed, or forever without a connection.
-pub(crate) async fn caller_left(io: Option<&IoRef>) {
-    match io {
-        Some(io) => {
-            let disconnect = io.on_disconnect();
+pub(crate) async fn caller_left(connection: Option<&BusyConnection>) {
+    match connection {
+        Some(connection) => {
+            let disconnect = connection.io().on_disconnect();
             poll_fn(|cx| disconnect.poll_ready(cx)).await;
         }
         None => std::future::pending().await,
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -52,7 +52,7 @@
     is_suppressed: bool,
     /// Lines suppressed before this one.
     suppressed_lines: u32,
-    open: OpenCall,
+    _open: OpenCall,
 }
 
 impl CallReport {
@@ -82,7 +82,7 @@
             is_finished: false,
             is_suppressed: false,
             suppressed_lines: 0,
-            open: OpenCall::new(context),
+            _open: OpenCall::new(context),
         }
     }
 
@@ -92,11 +92,6 @@
         self.version = Some(call.table.version);
     }
 
-    /// Counts the body of the request as held until its end.
-    pub(crate) fn record_body(&mut self, bytes: usize) {
-        self.open.record_body(bytes);
-    }
-
     pub(crate) fn record_admission(&mut self, call: &AdmittedCall) {
         self.share = call.share;
     }
--- a/crates/gateway/src/resources.rs
+++ b/crates/gateway/src/resources.rs
@@ -1,5 +1,5 @@
 //! Measures what the process holds: memory, descriptors, connections, requests
-//! and bodies.
+//! and bytes held for them.
 
 use std::fs;
 use std::sync::Arc;
@@ -27,7 +27,7 @@
     let descriptors = open_descriptors();
     let connections = context.open_connections();
     let calls = context.open_calls();
-    let (bodies, body_bytes) = context.held_bodies();
+    let is_saturated = context.accept_policy().is_saturated();
     tracing::info!(
         unit = "resources",
         event = "sampled",
@@ -35,16 +35,14 @@
         descriptors,
         connections,
         calls,
-        bodies,
-        body_bytes,
+        is_saturated,
     );
     let gauges = [
         ("resident_bytes", resident_bytes),
         ("descriptors", descriptors),
         ("caller_connections", Some(connections as u64)),
         ("open_calls", Some(calls as u64)),
-        ("held_bodies", Some(bodies as u64)),
-        ("held_body_bytes", Some(body_bytes as u64)),
+        ("saturated", Some(u64::from(is_saturated))),
     ];
     for (name, value) in gauges {
         if let Some(value) = value {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -3,46 +3,40 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use base::PrometheusSink;
 use ntex::SharedCfg;
 use ntex::http::{HttpService, HttpServiceConfig, Request, Response};
-use ntex::io::Io;
 use ntex::server::ServerBuilder;
-use ntex::service::{apply_fn_factory, fn_service};
+use ntex::service::fn_service;
 use ntex::time::Seconds;
 use tokio::signal::unix::{SignalKind, signal};
 
+use crate::accept::start_caller_server;
 use crate::beats::start_heartbeats;
-use crate::context::{GatewayContext, OpenConnection, millis};
+use crate::context::{GatewayContext, millis};
 use crate::follow::follow_source;
 use crate::heap::trim_heap;
 use crate::platform::{CallFormat, StateSource};
 use crate::relay::RelayBody;
 use crate::reload::start_reload;
 use crate::resources::sample_resources;
+use crate::serve;
 use crate::settings::GatewaySettings;
-use crate::worker::Worker;
-use crate::{pipeline, serve};
 
 /// Time that a caller may take to send the head of its request.
 const HEAD_TIMEOUT: Seconds = Seconds(5);
 /// Time after which an idle connection of a caller is closed: longer than any
 /// caller keeps one for reuse.
 const CALLER_KEEP_ALIVE: Seconds = Seconds(75);
-/// Length of the accept queue. A full queue delays callers by seconds.
-const LISTEN_BACKLOG: i32 = 1_024;
 /// Time between two checks for open requests during a drain.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(50);
 /// The process exits this long before it would be killed, in milliseconds.
 const EXIT_MARGIN_MS: u64 = 500;
 /// Callers may use an address response for this many times its lease.
 const USABLE_LEASES: f64 = 3.0;
-/// Time between two sweeps of the connection pool.
-const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 
 /// Runs a gateway until it receives a stop signal. `file` is the file that the
 /// settings were read from.
@@ -79,6 +73,7 @@
         seeds = ?context.settings.seeds,
     );
     start_heartbeats(&context).await?;
+    start_caller_server(&context)?;
     let server = listen(&context, &metrics_sink)?;
     start_reload(&context, file)?;
     ntex::rt::spawn(follow_source(Arc::clone(&context), source));
@@ -121,39 +116,21 @@
     tracing::info!(unit = "run", event = "drained", took_ms, cut = context.open_calls());
 }
 
-fn http_config() -> SharedCfg {
+pub(crate) fn http_config() -> SharedCfg {
     let config = HttpServiceConfig::new()
         .set_headers_read_rate(HEAD_TIMEOUT, HEAD_TIMEOUT, 1_024)
         .set_keepalive(CALLER_KEEP_ALIVE);
     SharedCfg::new("gateway").add(config).into()
 }
 
-type HandlerResult = Result<Response<RelayBody>, io::Error>;
+pub(crate) type HandlerResult = Result<Response<RelayBody>, io::Error>;
 
 fn listen(
     context: &Arc<GatewayContext>,
     metrics_sink: &PrometheusSink,
 ) -> anyhow::Result<ntex::server::Server> {
     let listen = context.settings.listen.clone();
-    let builder = ntex::server::build().workers(1).backlog(LISTEN_BACKLOG).disable_signals();
-    let worker_context = Arc::clone(context);
-    let result = builder.bind("callers", listen.callers, async move |_| {
-        let worker = Worker::new(Arc::clone(&worker_context));
-        ntex::rt::spawn(sweep_connections(Rc::clone(&worker)));
-        ntex::rt::spawn(watch_lateness(Rc::clone(&worker)));
-        let connection_context = Arc::clone(&worker.context);
-        let http_service = HttpService::h1(fn_service(move |request: Request| {
-            let worker = Rc::clone(&worker);
-            async move { HandlerResult::Ok(pipeline::serve(worker, request).await) }
-        }));
-        apply_fn_factory(http_service, async move |io: Io, http_service| {
-            let _open = OpenConnection::new(&connection_context);
-            http_service.call(io).await
-        })
-    });
-    let mut builder = result
-        .map_err(|cause| bind_error("callers", listen.callers, &cause))?
-        .config("callers", http_config());
+    let mut builder = ntex::server::build().workers(1).disable_signals();
     builder = bind(builder, "ready", listen.ready, context, async |context, request| {
         serve::ready(&context, &request)
     })?;
@@ -192,30 +169,6 @@
     Ok(builder.config(name, http_config()))
 }
 
-fn bind_error(name: &str, address: SocketAddr, cause: &io::Error) -> anyhow::Error {
+pub(crate) fn bind_error(name: &str, address: SocketAddr, cause: &io::Error) -> anyhow::Error {
     anyhow::anyhow!("step=bind name={name} peer={address}: {cause}")
 }
-
-async fn sweep_connections(worker: Rc<Worker>) {
-    while !worker.context.shutdown.is_cancelled() {
-        tokio::time::sleep(SWEEP_PERIOD).await;
-        worker.sweep();
-    }
-}
-
-/// Measures how late the thread runs until the process stops.
-async fn watch_lateness(worker: Rc<Worker>) {
-    let context = &worker.context;
-    let mut was_late = false;
-    while !context.shutdown.is_cancelled() {
-        let now = context.now();
-        let pause_ms = worker.lateness.borrow_mut().tick(now);
-        let late_ms = worker.lateness.borrow().overload_lateness(now);
-        if late_ms.is_some() != was_late {
-            was_late = late_ms.is_some();
-            let open = context.open_calls();
-            tracing::warn!(unit = "lateness", event = "changed", is_late = was_late, late_ms, open);
-        }
-        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
-    }
-}
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -286,7 +286,7 @@
             Some(Refusal::retry_after(RefusalCause::RouterExhausted, EXHAUSTED_RETRY_MS))
         }
         ExchangeError::TimedOut { .. } if worker.was_late_since(since) => {
-            let late_ms = worker.lateness.borrow().late_ms(worker.context.now());
+            let late_ms = worker.context.lateness().late_ms(worker.context.now());
             let wait_ms = late_ms.max(MIN_LATE_RETRY_MS);
             Some(Refusal::retry_after(RefusalCause::RouterLate, wait_ms))
         }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use http::{Method, StatusCode};
+use mesh::MemberView;
 use ntex::http::{Request, Response};
 use ntex::util::{Bytes, BytesMut};
 
@@ -24,13 +25,15 @@
 /// Time that a peer may take to send a complete body. It waits less long for its answer.
 const PEER_BODY_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Handles a readiness check. The router is ready if it has a configuration and
-/// is not draining.
+/// Handles a readiness check. The router is ready if it has a configuration, is not
+/// draining and takes more callers.
 pub(crate) fn ready(context: &GatewayContext, request: &Request) -> Response<RelayBody> {
     if request.path() != context.format.ready_path() {
         return empty_response(StatusCode::NOT_FOUND);
     }
-    let is_ready = !context.is_draining() && context.table().is_some();
+    let is_ready = !context.is_draining()
+        && context.table().is_some()
+        && !context.accept_policy().sends_callers_away();
     empty_response(if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
 }
 
@@ -42,11 +45,16 @@
     let query = request.uri().query().unwrap_or_default();
     let address_query = context.format.read_address_query(query);
     let settings = &context.settings;
-    let accepts_calls = !context.is_draining() && context.table().is_some();
+    let accepts_calls = !context.is_draining()
+        && context.table().is_some()
+        && !context.accept_policy().sends_callers_away();
     let own_address = accepts_calls.then_some((&*settings.failure_domain, settings.listen.callers));
     let domain = address_query.domain.as_deref().unwrap_or(&settings.failure_domain);
     let now = context.now();
-    let addresses = context.members().caller_addresses(domain, own_address, MAX_ADDRESSES, now);
+    let policy = context.accept_policy().clone();
+    let is_avoided = |view: &MemberView| policy.avoids(&view.origin.instance);
+    let addresses =
+        context.members().caller_addresses(domain, own_address, MAX_ADDRESSES, is_avoided, now);
     let peer = request.peer_addr();
     tracing::debug!(unit = "serve", event = "addresses", ?peer, domain, ?addresses);
     if addresses.is_empty() {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -22,6 +22,8 @@
     #[serde(default)]
     pub bounds: BoundSettings,
     #[serde(default)]
+    pub resources: ResourceSettings,
+    #[serde(default)]
     pub admission: AdmissionSettings,
     #[serde(default)]
     pub choice: SelectionSettings,
@@ -77,6 +79,50 @@
     }
 }
 
+/// Resources of the process that it is ended or refused for exceeding.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ResourceSettings {
+    /// Largest number of open descriptors.
+    pub descriptors: usize,
+    /// Largest resident memory, in MiB.
+    pub memory_mb: usize,
+}
+
+impl Default for ResourceSettings {
+    fn default() -> Self {
+        Self { descriptors: 4_096, memory_mb: 512 }
+    }
+}
+
+/// Descriptors kept for files, listeners, peers, the configuration source, readiness
+/// checks, address queries and metrics.
+const RESERVED_DESCRIPTORS: usize = 300;
+/// Memory of a process without callers, in bytes: its code, the configuration, and
+/// what is known of targets, accounts and peers.
+const BASE_MEMORY_BYTES: usize = 20 << 20;
+/// Memory of a connection with a request in progress beside the bytes of its body and
+/// its response: buffers of both its ends, and bytes that the system has received and
+/// that are not read yet.
+const CONNECTION_BYTES: usize = 24 << 10;
+/// Part of the memory beyond the base that connections may take; the rest is for
+/// bodies and responses.
+const CONNECTION_MEMORY_SHARE: usize = 2;
+
+impl ResourceSettings {
+    /// Returns how many connections of callers may be open at once. Each may need a
+    /// second descriptor for its connection to a target.
+    pub fn max_caller_connections(&self) -> usize {
+        let by_descriptors = self.descriptors.saturating_sub(RESERVED_DESCRIPTORS) / 2;
+        let by_memory = self.usable_memory() / CONNECTION_MEMORY_SHARE / CONNECTION_BYTES;
+        by_descriptors.min(by_memory).max(1)
+    }
+
+    fn usable_memory(&self) -> usize {
+        (self.memory_mb << 20).saturating_sub(BASE_MEMORY_BYTES)
+    }
+}
+
 /// How capacity is shared among client accounts.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -141,10 +187,26 @@
                 "step=check_settings: {key} is {value}, must not be negative"
             );
         }
+        self.check_resources()?;
         self.check_admission()?;
         self.check_choice()
     }
 
+    fn check_resources(&self) -> anyhow::Result<()> {
+        let ResourceSettings { descriptors, memory_mb } = self.resources;
+        anyhow::ensure!(
+            descriptors > RESERVED_DESCRIPTORS,
+            "step=check_settings: resources.descriptors is {descriptors}, must be over \
+             {RESERVED_DESCRIPTORS}"
+        );
+        let base_mb = BASE_MEMORY_BYTES >> 20;
+        anyhow::ensure!(
+            memory_mb > base_mb,
+            "step=check_settings: resources.memory_mb is {memory_mb}, must be over {base_mb}"
+        );
+        Ok(())
+    }
+
     fn check_admission(&self) -> anyhow::Result<()> {
         let admission = &self.admission;
         for (key, value) in [
--- a/crates/gateway/src/worker.rs
+++ b/crates/gateway/src/worker.rs
@@ -6,28 +6,33 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use admit::ThreadLateness;
 use base::{Millis, Name};
+use cadence::prelude::*;
+use ntex::io::IoRef;
 use outbound::{
     Connection, ConnectionPool, ExchangeError, PoolSettings, connect, max_idle_connections,
 };
 use target::TargetEntry;
 
+use crate::connections::{BusyConnection, IdleConnections};
 use crate::context::GatewayContext;
 
 /// Time to open a connection to a target: allows for a round trip between failure
 /// domains and one lost packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Time between two sweeps of the connection pool.
+const SWEEP_PERIOD: Duration = Duration::from_secs(1);
+
 /// Identifies one incarnation of a target at one address.
 pub(crate) type ConnectionKey = (Name, u64, SocketAddr);
 
-/// Connection pool and lateness of the thread, with the shared context.
+/// Connection pool of the thread, with the shared context.
 #[derive(Debug)]
 pub(crate) struct Worker {
     pub(crate) context: Arc<GatewayContext>,
     pool: RefCell<ConnectionPool<ConnectionKey>>,
-    pub(crate) lateness: RefCell<ThreadLateness>,
+    pub(crate) idle: Rc<IdleConnections>,
 }
 
 /// Whether a request may use an idle connection.
@@ -42,7 +47,18 @@
 impl Worker {
     pub(crate) fn new(context: Arc<GatewayContext>) -> Rc<Self> {
         let pool = RefCell::new(ConnectionPool::new(PoolSettings::default()));
-        Rc::new(Self { context, pool, lateness: RefCell::default() })
+        Rc::new(Self { context, pool, idle: Rc::default() })
+    }
+
+    /// Starts the periodic tasks of the thread, which run until the process stops.
+    pub(crate) fn start(self: &Rc<Self>) {
+        ntex::rt::spawn(sweep_connections(Rc::clone(self)));
+        ntex::rt::spawn(watch_lateness(Rc::clone(self)));
+    }
+
+    /// Marks a caller's connection as busy until the guard is dropped.
+    pub(crate) fn begin_request(&self, io: &IoRef) -> BusyConnection {
+        BusyConnection::new(&self.idle, io, &self.context.clock)
     }
 
     /// Returns an idle or a new connection to a target.
@@ -67,7 +83,7 @@
     /// Whether this thread was late at some time since `since`, so that a time-out says
     /// nothing about whom it waited for.
     pub(crate) fn was_late_since(&self, since: Millis) -> bool {
-        self.lateness.borrow().was_overloaded_since(since, self.context.now())
+        self.context.lateness().was_overloaded_since(since, self.context.now())
     }
 
     /// Returns a connection to the pool after its response has been read completely.
@@ -91,6 +107,16 @@
         max_idle_connections(service.max_connections, in_use as u32, self.context.router_count())
     }
 
+    /// Closes callers' idle connections if there are close to as many as allowed.
+    fn close_longest_idle(&self, connections: usize) {
+        let max_connections = self.context.settings.resources.max_caller_connections();
+        let closed = self.idle.close_longest_idle(connections, max_connections);
+        if closed > 0 {
+            self.context.metrics.count("idle_connections_closed", closed as i64).ok();
+            tracing::info!(unit = "accept", event = "idle_closed", closed, connections);
+        }
+    }
+
     /// Closes idle connections that have expired or belong to unknown targets.
     pub(crate) fn sweep(&self) {
         let targets = self.context.targets();
@@ -100,6 +126,40 @@
     }
 }
 
+async fn sweep_connections(worker: Rc<Worker>) {
+    while !worker.context.shutdown.is_cancelled() {
+        tokio::time::sleep(SWEEP_PERIOD).await;
+        worker.sweep();
+    }
+}
+
+/// Measures how late the thread runs until the process stops.
+async fn watch_lateness(worker: Rc<Worker>) {
+    let context = &worker.context;
+    while !context.shutdown.is_cancelled() {
+        let now = context.now();
+        let (pause_ms, late_ms) = {
+            let mut lateness = context.lateness();
+            (lateness.tick(now), lateness.late_ms(now))
+        };
+        let connections = context.open_connections();
+        worker.close_longest_idle(connections);
+        let has_changed = context.accept_policy().record(connections, late_ms, now);
+        if has_changed {
+            tracing::warn!(
+                unit = "accept",
+                event = "saturation_changed",
+                is_saturated = context.accept_policy().is_saturated(),
+                late_ms,
+                connections,
+                open = context.open_calls(),
+            );
+            context.heartbeat_now.notify_one();
+        }
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+    }
+}
+
 fn connection_key(entry: &TargetEntry) -> ConnectionKey {
     (Name::clone(&entry.id), entry.incarnation, entry.address)
 }
--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -312,12 +312,13 @@
     /// Returns up to `max_addresses` caller addresses of live routers that accept
     /// requests. If there are any in the failure domain `domain`, returns only
     /// those. `own` is the failure domain and address of this router, `None` while
-    /// it is draining.
+    /// it takes no callers; peers for which `is_avoided` holds are left out.
     pub fn caller_addresses(
         &self,
         domain: &str,
         own: Option<(&str, SocketAddr)>,
         max_addresses: usize,
+        is_avoided: impl Fn(&MemberView) -> bool,
         now: Millis,
     ) -> Vec<SocketAddr> {
         let mut same_domain = Vec::new();
@@ -329,7 +330,7 @@
                 other_domains.push(address)
             }
         }
-        for view in self.live(now).filter(|view| !view.is_draining) {
+        for view in self.live(now).filter(|view| !view.is_draining && !is_avoided(view)) {
             let address = view.addresses.callers;
             if &*view.domain == domain {
                 same_domain.push(address)
