feat: bytes held for callers draw on one budget

Bodies were read whole into a growing buffer, whatever was held already, and kept until the response had ended.

admit::MemoryBudget, without network, limits the bytes of request bodies and of buffered responses. An account may hold as much as is left over, so that some is always left for the others. The declared length is held before the body is read; a request that does not fit is refused as MemoryFull or AccountMemory (503, not run). The body of a stream that is not sent again is dropped when its response begins.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -3,12 +3,14 @@
 
 mod accept;
 mod lateness;
+mod memory;
 mod retries;
 mod shares;
 mod window;
 
 pub use accept::{AcceptPolicy, AcceptSettings};
 pub use lateness::{LatenessSettings, ThreadLateness};
+pub use memory::{HoldKey, MemoryBudget, MemoryRefusal, MemorySettings};
 pub use retries::{RetryBudget, RetrySettings};
 pub use shares::{AccountDemand, AccountShares, ShareSettings, ShareVerdict, water_level};
 pub use window::RateWindow;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -10,12 +10,12 @@
 use http::{Method, Version};
 use hyper::body::Bytes;
 use ntex::http::{HeaderMap, Request};
-use ntex::util::BytesMut;
 use route::{RouteSpec, RouteTable};
 use target::RequestProfile;
 
 use crate::body::BodyReader;
 use crate::context::GatewayContext;
+use crate::held::HeldBytes;
 use crate::platform::CallMetadata;
 use crate::refusal::{Refusal, RefusalCause};
 
@@ -61,7 +61,7 @@
 #[derive(Debug)]
 pub(crate) struct AdmittedCall {
     pub(crate) routed: RoutedCall,
-    pub(crate) body: Bytes,
+    pub(crate) body: HeldBody,
     /// Cost charged to the account's share, in tokens; 0 where shares don't apply.
     pub(crate) cost: f64,
     /// None where shares don't apply: plain services and public routes.
@@ -100,6 +100,12 @@
         self.metadata.id.as_deref().unwrap_or("-")
     }
 
+    /// Returns the length of the body that the caller declares, in bytes.
+    fn declared_bytes(&self) -> Option<usize> {
+        let length = self.headers.get(http::header::CONTENT_LENGTH)?;
+        length.to_str().ok()?.trim().parse().ok()
+    }
+
     /// Returns the minimum size of the request line and the headers on the wire,
     /// in bytes.
     fn head_bytes(&self) -> usize {
@@ -168,25 +174,62 @@
         self.expires_at.saturating_sub(now)
     }
 
-    /// Reads the complete body.
+    /// Reads the complete body, which counts against the memory of the process.
     ///
     /// # Errors
-    /// Refuses the request if the body is too large, arrives too slowly or breaks
-    /// off.
-    pub(crate) async fn read_body(&self, mut reader: BodyReader) -> Result<Bytes, Refusal> {
+    /// Refuses the request if the body is too large, arrives too slowly, breaks off
+    /// or does not fit into the memory.
+    pub(crate) async fn read_body(
+        &self,
+        context: &Arc<GatewayContext>,
+        reader: &mut BodyReader,
+    ) -> Result<HeldBody, Refusal> {
         let max_bytes = self.table.limits.body_bytes;
+        let declared = self.received.declared_bytes();
+        if declared.is_some_and(|declared| declared > max_bytes) {
+            return Err(Refusal::new(RefusalCause::BodyTooLarge));
+        }
+        let held = HeldBytes::new(context, self.account.as_ref(), declared.unwrap_or_default())?;
         let reading = async {
-            let mut body = BytesMut::new();
+            let mut body = Vec::with_capacity(declared.unwrap_or_default());
             while let Some(chunk) = reader.next_chunk().await {
                 let chunk = chunk.map_err(|_| Refusal::new(RefusalCause::BadRequest))?;
                 if body.len() + chunk.len() > max_bytes {
                     return Err(Refusal::new(RefusalCause::BodyTooLarge));
                 }
+                if declared.is_none() {
+                    held.grow(chunk.len())?;
+                }
                 body.extend_from_slice(&chunk);
             }
-            Ok(Bytes::copy_from_slice(&body))
+            Ok(Bytes::from(body))
         };
         let read = tokio::time::timeout(BODY_TIMEOUT, reading).await;
-        read.unwrap_or(Err(Refusal::new(RefusalCause::BodyTooSlow)))
+        let bytes = read.unwrap_or(Err(Refusal::new(RefusalCause::BodyTooSlow)))?;
+        Ok(HeldBody { bytes, held: Some(held) })
+    }
+}
+
+/// The body of a request, which counts against the memory of the process.
+#[derive(Debug)]
+pub(crate) struct HeldBody {
+    pub(crate) bytes: Bytes,
+    /// None once the body has been dropped.
+    held: Option<HeldBytes>,
+}
+
+impl HeldBody {
+    /// Drops the body of a request that will not be sent again.
+    pub(crate) fn drop_bytes(&mut self) {
+        self.bytes = Bytes::new();
+        self.held = None;
+    }
+
+    /// Counts the bytes of a response that is buffered for the same request.
+    ///
+    /// # Errors
+    /// Returns a refusal if they do not fit into the memory.
+    pub(crate) fn grow(&self, bytes: usize) -> Result<(), Refusal> {
+        self.held.as_ref().map_or(Ok(()), |held| held.grow(bytes))
     }
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -6,8 +6,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use admit::{
-    AcceptPolicy, AcceptSettings, AccountShares, RetryBudget, RetrySettings, ShareSettings,
-    ThreadLateness,
+    AcceptPolicy, AcceptSettings, AccountShares, MemoryBudget, MemorySettings, RetryBudget,
+    RetrySettings, ShareSettings, ThreadLateness,
 };
 use base::{Millis, MonoClock, Name, Origin};
 use cadence::StatsdClient;
@@ -49,6 +49,7 @@
     accept_policy: Mutex<AcceptPolicy>,
     /// Lateness of the thread that serves callers.
     lateness: Mutex<ThreadLateness>,
+    memory: Mutex<MemoryBudget>,
     members: Mutex<MemberTable>,
     source: Mutex<SourceProgress>,
     /// Lateness of the thread that reads the source and exchanges heartbeats.
@@ -109,6 +110,10 @@
             max_connections: settings.resources.max_caller_connections(),
             ..AcceptSettings::default()
         };
+        let memory_settings = MemorySettings {
+            limit_bytes: settings.resources.held_bytes(),
+            ..MemorySettings::default()
+        };
         let heartbeat_address = settings.listen.beats;
         let seeds = heartbeat_addresses(&settings.seeds, heartbeat_address.port());
         let members =
@@ -124,6 +129,7 @@
             loads: Mutex::default(),
             shares: Mutex::new(AccountShares::new(share_settings)),
             retries: Mutex::new(RetryBudget::new(retry_settings)),
+            memory: Mutex::new(MemoryBudget::new(memory_settings)),
             lateness: Mutex::default(),
             accept_policy: Mutex::new(AcceptPolicy::new(accept_settings)),
             members: Mutex::new(members),
@@ -182,6 +188,10 @@
         lock(&self.lateness)
     }
 
+    pub(crate) fn memory(&self) -> MutexGuard<'_, MemoryBudget> {
+        lock(&self.memory)
+    }
+
     pub(crate) fn members(&self) -> MutexGuard<'_, MemberTable> {
         lock(&self.members)
     }
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -60,9 +60,9 @@
     let mut request = Request::builder()
         .method(received.method.clone())
         .uri(received.path_and_query.as_str())
-        .body(Full::new(call.body.clone()))
+        .body(Full::new(call.body.bytes.clone()))
         .map_err(|cause| cause.to_string())?;
-    if call.body.is_empty() && received.headers.contains_key(CONTENT_LENGTH) {
+    if call.body.bytes.is_empty() && received.headers.contains_key(CONTENT_LENGTH) {
         headers.insert(CONTENT_LENGTH, HeaderValue::from_static("0"));
     }
     *request.headers_mut() = headers;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod follow;
 mod headers;
 mod heap;
+mod held;
 mod messages;
 mod pipeline;
 mod platform;
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -72,9 +72,14 @@
         }
     };
     report.record_route(&routed);
-    let body = match routed.read_body(body).await {
+    let body = match routed.read_body(context, &mut body).await {
         Ok(body) => body,
-        Err(refusal) => return refuse(&mut report, refusal),
+        Err(refusal) => {
+            if refusal.is_for_memory() {
+                discard_body(&mut body).await;
+            }
+            return refuse(&mut report, refusal);
+        }
     };
     let admitted = share::admit(context, routed, body);
     report.record_admission(&admitted);
@@ -144,8 +149,10 @@
             call.routed.route.kind.is_stream() && exchange.response.status().is_success();
         let result = match (is_stream, call.routed.received.accepts_chunks) {
             (true, true) => begin_stream(exchange).await,
-            (true, false) => buffer_response(worker, ResponseReader::of_stream(exchange)).await,
-            (false, _) => buffer_response(worker, ResponseReader::of_plain(exchange)).await,
+            (true, false) => {
+                buffer_response(worker, call, ResponseReader::of_stream(exchange)).await
+            }
+            (false, _) => buffer_response(worker, call, ResponseReader::of_plain(exchange)).await,
         };
         let cause = match result {
             Ok(ready) => return Ok(ready),
@@ -172,8 +179,12 @@
     Ok(ReadyResponse::Stream(Box::new(stream)))
 }
 
-async fn buffer_response(worker: &Worker, reader: ResponseReader) -> Result<ReadyResponse, String> {
-    let (head, bytes) = reader.read_to_end(worker, MAX_BUFFERED_BYTES).await?;
+async fn buffer_response(
+    worker: &Worker,
+    call: &AdmittedCall,
+    reader: ResponseReader,
+) -> Result<ReadyResponse, String> {
+    let (head, bytes) = reader.read_to_end(worker, &call.body, MAX_BUFFERED_BYTES).await?;
     let body = RelayBody::Whole(Bytes::copy_from_slice(&bytes));
     let mut response = Response::with_body(head.status, body);
     response.head_mut().headers = end_to_end_headers(&head.headers);
@@ -182,13 +193,16 @@
 
 fn stream_response(
     worker: &Rc<Worker>,
-    call: AdmittedCall,
+    mut call: AdmittedCall,
     attempts: Attempts,
     stream: OpenStream,
     connection: Option<BusyConnection>,
     deadline: Instant,
     report: CallReport,
 ) -> Response<RelayBody> {
+    if !call.routed.route.kind.is_retryable() {
+        call.body.drop_bytes();
+    }
     let status = stream.head().status;
     let headers = end_to_end_headers(&stream.head().headers);
     let relay =
--- a/crates/gateway/src/reader.rs
+++ b/crates/gateway/src/reader.rs
@@ -7,6 +7,7 @@
 use sse::EventBoundary;
 use target::RequestOutcome;
 
+use crate::call::HeldBody;
 use crate::headers::{is_event_stream, keep_alive_timeout};
 use crate::report::CallReport;
 use crate::send::{OutstandingRequest, TargetExchange};
@@ -89,6 +90,7 @@
     pub(crate) async fn read_to_end(
         mut self,
         worker: &Worker,
+        held: &HeldBody,
         max_bytes: usize,
     ) -> Result<(Parts, Bytes), String> {
         self.record_first_byte();
@@ -99,7 +101,12 @@
                     self.fail();
                     return Err(format!("answer has over {max_bytes} bytes"));
                 }
-                Ok(Some(bytes)) => body.extend_from_slice(&bytes),
+                Ok(Some(bytes)) => {
+                    if let Err(refusal) = held.grow(bytes.len()) {
+                        return Err(format!("answer does not fit: {:?}", refusal.cause));
+                    }
+                    body.extend_from_slice(&bytes);
+                }
                 Ok(None) if self.head.status.is_server_error() => {
                     return Ok((self.fail(), body.into()));
                 }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -24,6 +24,10 @@
     HeadTooLarge,
     BodyTooLarge,
     BodyTooSlow,
+    /// The router holds as many bytes as its memory allows.
+    MemoryFull,
+    /// The client account holds its part of the router's memory.
+    AccountMemory,
     /// The client account is over its share and the targets are busy.
     OverShare,
     /// No target can take the request in time.
@@ -64,6 +68,11 @@
         Self { full_counts: Some(counts), ..refusal }
     }
 
+    /// Whether the request was refused for the memory of the process.
+    pub(crate) fn is_for_memory(&self) -> bool {
+        matches!(self.cause, RefusalCause::MemoryFull | RefusalCause::AccountMemory)
+    }
+
     /// Returns the status code. 408, 429 and 503 guarantee that the request did
     /// not run.
     pub(crate) fn status(&self) -> StatusCode {
@@ -79,6 +88,8 @@
             Cause::NoConfiguration
             | Cause::Draining
             | Cause::RouterLate
+            | Cause::MemoryFull
+            | Cause::AccountMemory
             | Cause::RouterExhausted
             | Cause::TargetsFull
             | Cause::NoTarget
--- a/crates/gateway/src/resources.rs
+++ b/crates/gateway/src/resources.rs
@@ -27,6 +27,7 @@
     let descriptors = open_descriptors();
     let connections = context.open_connections();
     let calls = context.open_calls();
+    let held_bytes = context.memory().used();
     let is_saturated = context.accept_policy().is_saturated();
     tracing::info!(
         unit = "resources",
@@ -35,6 +36,7 @@
         descriptors,
         connections,
         calls,
+        held_bytes,
         is_saturated,
     );
     let gauges = [
@@ -42,6 +44,7 @@
         ("descriptors", descriptors),
         ("caller_connections", Some(connections as u64)),
         ("open_calls", Some(calls as u64)),
+        ("held_bytes", Some(held_bytes as u64)),
         ("saturated", Some(u64::from(is_saturated))),
     ];
     for (name, value) in gauges {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -118,6 +118,11 @@
         by_descriptors.min(by_memory).max(1)
     }
 
+    /// Returns the memory that callers' bodies and responses may take, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        self.usable_memory() - self.usable_memory() / CONNECTION_MEMORY_SHARE
+    }
+
     fn usable_memory(&self) -> usize {
         (self.memory_mb << 20).saturating_sub(BASE_MEMORY_BYTES)
     }
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -7,10 +7,9 @@
 use std::sync::Arc;
 
 use base::Millis;
-use hyper::body::Bytes;
 use target::{TargetEntry, TargetSelection, mean_fullness};
 
-use crate::call::{AdmittedCall, RoutedCall};
+use crate::call::{AdmittedCall, HeldBody, RoutedCall};
 use crate::context::GatewayContext;
 use crate::refusal::{Refusal, RefusalCause};
 
@@ -24,7 +23,7 @@
 }
 
 /// Counts a request and determines whether its account is within its share.
-pub(crate) fn admit(context: &GatewayContext, call: RoutedCall, body: Bytes) -> AdmittedCall {
+pub(crate) fn admit(context: &GatewayContext, call: RoutedCall, body: HeldBody) -> AdmittedCall {
     let now = context.now();
     context.retries().record_request(&call.service, now);
     let account = call.account.clone().filter(|_| call.engine_memory().is_some());
