--- a/crates/gateway/tests/fair_service/callers.rs
+++ b/crates/gateway/tests/fair_service/callers.rs
@@ -1,8 +1,8 @@
-//! Callers that prefer one router and leave it only after a failed connection.
+//! Callers that prefer the first ready router of their account's order.
 
 use std::collections::{BTreeMap, HashMap};
 
-use base::Millis;
+use base::{Millis, stable_hash};
 
 /// Callers of each account.
 const CALLERS: u64 = 80;
@@ -11,8 +11,8 @@
 /// Time that a caller allows for a connection to be established, and for its
 /// request to be read, in milliseconds.
 const PATIENCE_MS: Millis = 1_000;
-/// Time that a caller avoids an address after a failure: three leases of the
-/// address response, in milliseconds.
+/// Time that a caller avoids an address after a connection that was not established:
+/// three leases of the address response, in milliseconds.
 const AVOID_MS: Millis = 3_000;
 /// Delay of a new attempt after a refusal, in milliseconds.
 const RETRY_MS: Millis = 200;
@@ -27,6 +27,8 @@
     number: u32,
     /// The request was neither read nor given up.
     is_waiting: bool,
+    /// The caller keeps the router, as it was closed unread there.
+    keeps_router: bool,
 }
 
 /// What is due at some time.
@@ -48,9 +50,16 @@
 }
 
 impl CallerPool {
-    /// Starts a request whose caller prefers the routers from `home` on, in order.
-    pub fn start(&mut self, account: usize, request_hash: u64, home: usize, now: Millis) {
-        let attempt = Attempt { account, request_hash, router: home, number: 1, is_waiting: true };
+    /// Starts a request.
+    pub fn start(&mut self, account: usize, request_hash: u64, now: Millis) {
+        let attempt = Attempt {
+            account,
+            request_hash,
+            router: 0,
+            number: 1,
+            is_waiting: true,
+            keeps_router: false,
+        };
         self.push(attempt, now);
     }
 
@@ -60,16 +69,25 @@
         std::mem::replace(&mut self.due, later).into_values().flatten().collect()
     }
 
-    /// Chooses the router of an attempt: the first one from `home` on that has not
-    /// failed this caller.
-    pub fn choose_router(&mut self, id: usize, home: usize, routers: usize, now: Millis) -> usize {
-        let Attempt { account, request_hash, .. } = self.attempts[id];
+    /// Chooses the router of an attempt: the first one of `order` that is ready and
+    /// has not failed this caller.
+    pub fn choose_router(
+        &mut self,
+        id: usize,
+        order: &[usize],
+        is_ready: &[bool],
+        now: Millis,
+    ) -> usize {
+        let Attempt { account, request_hash, router, keeps_router, .. } = self.attempts[id];
+        if keeps_router {
+            return router;
+        }
         let caller = request_hash % CALLERS;
-        let is_avoided = |router: &usize| {
-            self.avoided.get(&(account, caller, *router)).is_some_and(|until| *until > now)
+        let is_usable = |router: &&usize| {
+            let avoided = self.avoided.get(&(account, caller, **router));
+            is_ready[**router] && avoided.is_none_or(|until| *until <= now)
         };
-        let mut order = (0..routers).map(|step| (home + step) % routers);
-        let router = order.find(|router| !is_avoided(router)).unwrap_or(home);
+        let router = *order.iter().find(is_usable).unwrap_or(&order[0]);
         self.attempts[id].router = router;
         router
     }
@@ -84,19 +102,21 @@
 
     /// Records that the connection was not established.
     pub fn not_connected(&mut self, id: usize, now: Millis) {
-        self.avoid(id, now + PATIENCE_MS);
-        self.retry(id, now + PATIENCE_MS);
+        let Attempt { account, request_hash, router, .. } = self.attempts[id];
+        let failed_at = now + PATIENCE_MS;
+        self.avoided.insert((account, request_hash % CALLERS, router), failed_at + AVOID_MS);
+        self.retry(id, false, failed_at);
     }
 
-    /// Records that the connection was closed before the request was read.
+    /// Records that the connection was closed before the request was read. The
+    /// caller opens another one to the same router at once.
     pub fn turned_away(&mut self, id: usize, now: Millis) {
-        self.avoid(id, now);
-        self.retry(id, now);
+        self.retry(id, true, now);
     }
 
     /// Records a refusal, which does not make its caller avoid the router.
     pub fn refused(&mut self, id: usize, now: Millis) {
-        self.retry(id, now + RETRY_MS);
+        self.retry(id, false, now + RETRY_MS);
     }
 
     /// Ends the wait for an attempt to be read; returns false if it was over.
@@ -104,15 +124,11 @@
         std::mem::replace(&mut self.attempts[id].is_waiting, false)
     }
 
-    fn avoid(&mut self, id: usize, now: Millis) {
-        let Attempt { account, request_hash, router, .. } = self.attempts[id];
-        self.avoided.insert((account, request_hash % CALLERS, router), now + AVOID_MS);
-    }
-
-    fn retry(&mut self, id: usize, at: Millis) {
+    fn retry(&mut self, id: usize, keeps_router: bool, at: Millis) {
         let last = self.attempts[id];
         if last.number < MAX_ATTEMPTS {
-            self.push(Attempt { number: last.number + 1, is_waiting: true, ..last }, at);
+            let number = last.number + 1;
+            self.push(Attempt { number, is_waiting: true, keeps_router, ..last }, at);
         }
     }
 
@@ -121,3 +137,12 @@
         self.attempts.push(attempt);
     }
 }
+
+/// Returns the order in which the callers of an account prefer the routers, which
+/// is the same for all of them.
+pub fn account_order(account: usize, home: usize, routers: usize) -> Vec<usize> {
+    let mut order: Vec<usize> = (0..routers).collect();
+    let rank = |router: usize| stable_hash(&["order", &account.to_string(), &router.to_string()]);
+    order.sort_by_key(|router| (*router != home, rank(*router)));
+    order
+}
--- a/crates/gateway/tests/fair_service/fleet.rs
+++ b/crates/gateway/tests/fair_service/fleet.rs
@@ -1,7 +1,7 @@
 //! Simulates many routers that share engines, with the real shares, load tracking
 //! and selection, heartbeats at their real interval, and no network.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use admit::{AccountShares, ShareSettings};
@@ -12,12 +12,16 @@
     SelectionSettings, TargetEntry, TargetKey, TargetState, mean_fullness, select_target,
 };
 
-use crate::callers::{CallerEvent, CallerPool};
+use crate::callers::{CallerEvent, CallerPool, account_order};
 use crate::engine::{Engine, EngineEvent, EngineRequest};
-use crate::front::{RouterFront, RouterLimits};
+use crate::front::{RouterFront, RouterLimits, TakenAttempt};
 
 /// Duration of one step in milliseconds.
 const STEP_MS: Millis = 10;
+/// Time between two readiness checks of a router in milliseconds.
+const READINESS_CHECK_MS: Millis = 1_000;
+/// Heartbeat intervals after which a router that was not heard of is forgotten.
+const PEER_MAX_AGE_BEATS: Millis = 5;
 /// Memory of one engine in tokens.
 const ENGINE_MEMORY: u64 = 444_000;
 /// Subjects whose prompt parts are shared.
@@ -33,7 +37,7 @@
 pub enum Callers {
     /// Evenly to all routers.
     Spread,
-    /// All to one router.
+    /// All to one router, if it is ready.
     At(usize),
 }
 
@@ -81,6 +85,8 @@
     pub refused_over: u32,
     /// Refused unread, as the router is overloaded.
     pub refused_late: u32,
+    /// Attempts whose connection was closed before the request was read.
+    pub closed_unread: u32,
     /// Turned away by an engine whose queue was full.
     pub turned_away: u32,
     /// Sum over the requests begun of their time in the engine's queue, in
@@ -127,6 +133,16 @@
     arrivals: Vec<f64>,
     requests: u64,
     callers: CallerPool,
+    /// Order of the routers by account.
+    orders: Vec<Vec<usize>>,
+    /// Whether each router passed its last readiness check.
+    is_ready: Vec<bool>,
+    /// The router that is suspended, from when and until when.
+    freeze: Option<(usize, Millis, Millis)>,
+    /// Routers that were not ready at the readiness checks, by second.
+    pub not_ready: Vec<Vec<usize>>,
+    /// Routers that were saturated at the end of a second, by second.
+    pub saturated: Vec<Vec<usize>>,
     /// Service by account and second.
     pub service: Vec<Vec<SecondService>>,
 }
@@ -138,11 +154,18 @@
         let routers = (0..load.routers).map(|_| {
             let mut shares = AccountShares::new(ShareSettings::default());
             shares.set_capacity(capacity_per_s);
-            shares.set_peer_max_age(load.heartbeat_ms * 5);
+            shares.set_peer_max_age(load.heartbeat_ms * PEER_MAX_AGE_BEATS);
             let front = load.limits.map(RouterFront::new);
             SimRouter { front, shares, loads: LoadTracker::default(), read: (0, 0) }
         });
         let entries = (0..load.engines).map(|index| Arc::new(engine_entry(index, load.slots)));
+        let orders = load.accounts.iter().enumerate().map(|(account, load_of_account)| {
+            let home = match load_of_account.callers {
+                Callers::At(router) => router,
+                Callers::Spread => 0,
+            };
+            account_order(account, home, load.routers)
+        });
         let engines = (0..load.engines).map(|_| Engine::new(load.slots, load.max_waiting));
         Self {
             routers: routers.collect(),
@@ -152,19 +175,32 @@
             arrivals: vec![0.0; load.accounts.len()],
             requests: 0,
             callers: CallerPool::default(),
+            orders: orders.collect(),
+            is_ready: vec![true; load.routers],
+            freeze: None,
+            not_ready: Vec::new(),
+            saturated: Vec::new(),
             service: vec![Vec::new(); load.accounts.len()],
             load,
         }
     }
 
+    /// Suspends a router from `from` until `until`.
+    pub fn freeze(&mut self, router: usize, from: Millis, until: Millis) {
+        self.freeze = Some((router, from, until));
+    }
+
     /// Runs the fleet for `seconds`.
     pub fn run(&mut self, seconds: u64) {
         for account in &mut self.service {
             account.resize(seconds as usize, SecondService::default());
         }
+        self.not_ready.resize(seconds as usize, Vec::new());
+        self.saturated.resize(seconds as usize, Vec::new());
         for now in (0..seconds * 1_000).step_by(STEP_MS as usize) {
             self.advance_engines(now);
             self.send_heartbeats(now);
+            self.check_readiness(now);
             self.take_arrivals(now);
             self.handle_caller_events(now);
             self.run_fronts(now);
@@ -182,6 +218,12 @@
         self.service[account][range].iter().map(|second| second.asked).sum()
     }
 
+    /// Returns the routers that forwarded requests of an account.
+    pub fn routers_used(&self, account: usize) -> BTreeSet<usize> {
+        let sent = self.sent.iter().filter(|request| request.account == account);
+        sent.map(|request| request.router).collect()
+    }
+
     fn advance_engines(&mut self, now: Millis) {
         for engine in &mut self.engines {
             for event in engine.advance(now) {
@@ -204,6 +246,9 @@
                             let outcome = Some(RequestOutcome::Answered);
                             loads.finish_request(request.target, outstanding, outcome, now);
                         }
+                        if let Some(front) = &mut self.routers[request.router].front {
+                            front.receive_response();
+                        }
                     }
                 }
             }
@@ -216,26 +261,68 @@
         let heartbeat_ms = self.load.heartbeat_ms;
         for sender in 0..self.load.routers {
             let phase = sender as Millis * heartbeat_ms / self.load.routers as Millis;
-            if (now + phase) % heartbeat_ms >= STEP_MS {
-                continue;
+            if (now + phase) % heartbeat_ms < STEP_MS && !self.is_frozen(sender, now) {
+                self.send_heartbeat(sender, now);
             }
-            let router = &mut self.routers[sender];
-            let demands: BTreeMap<_, _> = router.shares.own_demands(now).into_iter().collect();
-            let mut loads = router.loads.own_loads();
-            loads.sort_by_key(|(_, load)| std::cmp::Reverse(load.unread_tokens));
-            loads.truncate(self.load.listed_targets);
-            let totals = router.loads.own_totals();
-            let peer: Name = format!("router-{sender}").into();
-            for (index, receiver) in self.routers.iter_mut().enumerate() {
-                if index != sender {
-                    receiver.shares.update_peer(Name::clone(&peer), demands.clone(), now);
-                    receiver.loads.update_peer(&peer, &loads, now);
-                    receiver.loads.update_peer_totals(&peer, totals);
+        }
+    }
+
+    fn send_heartbeat(&mut self, sender: usize, now: Millis) {
+        let router = &mut self.routers[sender];
+        let demands: BTreeMap<_, _> = router.shares.own_demands(now).into_iter().collect();
+        let mut loads = router.loads.own_loads();
+        loads.sort_by_key(|(_, load)| std::cmp::Reverse(load.unread_tokens));
+        loads.truncate(self.load.listed_targets);
+        let totals = router.loads.own_totals();
+        let max_age = self.load.heartbeat_ms * PEER_MAX_AGE_BEATS;
+        let is_saturated = router.front.as_mut().is_some_and(|front| {
+            front.policy.expire_others(max_age, now);
+            front.policy.is_saturated()
+        });
+        let peer: Name = format!("router-{sender}").into();
+        for (index, receiver) in self.routers.iter_mut().enumerate() {
+            if index != sender {
+                receiver.shares.update_peer(Name::clone(&peer), demands.clone(), now);
+                receiver.loads.update_peer(&peer, &loads, now);
+                receiver.loads.update_peer_totals(&peer, totals);
+                if let Some(front) = &mut receiver.front {
+                    front.policy.record_other(Name::clone(&peer), is_saturated, now);
                 }
             }
         }
     }
 
+    fn is_frozen(&self, router: usize, now: Millis) -> bool {
+        self.freeze
+            .is_some_and(|(frozen, from, until)| router == frozen && (from..until).contains(&now))
+    }
+
+    /// Checks the readiness of the routers that are due, each router at its own
+    /// phase.
+    fn check_readiness(&mut self, now: Millis) {
+        let second = (now / 1_000) as usize;
+        for (index, router) in self.routers.iter_mut().enumerate() {
+            let Some(front) = &mut router.front else { continue };
+            if let Some((frozen, from, until)) = self.freeze
+                && index == frozen
+                && from == now
+            {
+                front.freeze(until);
+            }
+            if now % 1_000 == 1_000 - STEP_MS && front.policy.is_saturated() {
+                self.saturated[second].push(index);
+            }
+            let phase = index as Millis * READINESS_CHECK_MS / self.load.routers as Millis;
+            if (now + phase) % READINESS_CHECK_MS >= STEP_MS {
+                continue;
+            }
+            self.is_ready[index] = front.is_ready(now);
+            if !self.is_ready[index] {
+                self.not_ready[second].push(index);
+            }
+        }
+    }
+
     fn take_arrivals(&mut self, now: Millis) {
         for account in 0..self.load.accounts.len() {
             let load = self.load.accounts[account];
@@ -251,15 +338,28 @@
     fn handle_request(&mut self, account: usize, now: Millis) {
         self.requests += 1;
         let request_hash = stable_hash(&["request", &self.requests.to_string()]);
+        self.service[account][(now / 1_000) as usize].asked += 1;
+        if self.load.limits.is_some() {
+            self.callers.start(account, request_hash, now);
+            return;
+        }
         let router_index = match self.load.accounts[account].callers {
             Callers::At(router) => router,
             Callers::Spread => (request_hash % self.load.routers as u64) as usize,
         };
-        self.service[account][(now / 1_000) as usize].asked += 1;
-        if self.load.limits.is_some() {
-            self.callers.start(account, request_hash, router_index, now);
-        } else {
-            self.forward_request(account, request_hash, router_index, now);
+        self.forward_request(account, request_hash, router_index, now);
+    }
+
+    /// Returns the order of routers for a request: that of the account or, for spread
+    /// callers, any.
+    fn router_order(&self, account: usize, request_hash: u64) -> Vec<usize> {
+        let routers = self.load.routers;
+        match self.load.accounts[account].callers {
+            Callers::At(_) => self.orders[account].clone(),
+            Callers::Spread => {
+                let first = (request_hash % routers as u64) as usize;
+                (0..routers).map(|step| (first + step) % routers).collect()
+            }
         }
     }
 
@@ -280,11 +380,8 @@
 
     fn connect_caller(&mut self, id: usize, now: Millis) {
         let attempt = self.callers.attempt(id);
-        let home = match self.load.accounts[attempt.account].callers {
-            Callers::At(router) => router,
-            Callers::Spread => attempt.router,
-        };
-        let router_index = self.callers.choose_router(id, home, self.load.routers, now);
+        let order = self.router_order(attempt.account, attempt.request_hash);
+        let router_index = self.callers.choose_router(id, &order, &self.is_ready, now);
         let front = self.routers[router_index].front.as_mut().expect("routers have limits");
         if front.connect(id) {
             self.callers.connected(id, now);
@@ -299,35 +396,52 @@
             if let Some(front) = &mut self.routers[index].front {
                 front.start_step(now, STEP_MS);
             }
-            while let Some(id) =
-                self.routers[index].front.as_mut().and_then(|front| front.next_attempt(now))
-            {
-                let cost_us = self.handle_attempt(index, id, now);
-                let front = self.routers[index].front.as_mut();
-                front.expect("routers have limits").charge(cost_us);
+            while let Some(attempt) = self.next_attempt(index, now) {
+                let cost_us = self.handle_attempt(index, attempt, now);
+                self.front(index).charge(cost_us);
             }
         }
     }
 
+    fn front(&mut self, router: usize) -> &mut RouterFront {
+        self.routers[router].front.as_mut().expect("routers have limits")
+    }
+
+    fn next_attempt(&mut self, router: usize, now: Millis) -> Option<TakenAttempt> {
+        let (attempt, has_changed) = self.routers[router].front.as_mut()?.next_attempt(now);
+        if has_changed {
+            self.send_heartbeat(router, now);
+        }
+        attempt
+    }
+
     /// Handles an accepted connection; returns its processor time in microseconds.
-    fn handle_attempt(&mut self, router_index: usize, id: usize, now: Millis) -> u64 {
-        let front = self.routers[router_index].front.as_ref().expect("routers have limits");
+    fn handle_attempt(&mut self, router_index: usize, taken: TakenAttempt, now: Millis) -> u64 {
+        let TakenAttempt { id, is_read } = taken;
+        let front = self.front(router_index);
         let costs = front.costs();
-        let reads_request = front.reads_request(now);
         let is_late = front.overload_lateness(now).is_some();
-        if !self.callers.stop_waiting(id) {
-            return if reads_request { costs.refuse_us } else { costs.turn_away_us };
-        }
-        if !reads_request {
-            self.callers.turned_away(id, now);
+        let was_waiting = self.callers.stop_waiting(id);
+        if !is_read {
+            self.front(router_index).close();
+            if was_waiting {
+                let account = self.callers.attempt(id).account;
+                self.service[account][(now / 1_000) as usize].closed_unread += 1;
+                self.callers.turned_away(id, now);
+            }
             return costs.turn_away_us;
         }
+        if !was_waiting {
+            self.front(router_index).close();
+            return costs.refuse_us;
+        }
         let attempt = self.callers.attempt(id);
         if is_late {
             self.service[attempt.account][(now / 1_000) as usize].refused_late += 1;
         } else if self.forward_request(attempt.account, attempt.request_hash, router_index, now) {
             return costs.forward_us;
         }
+        self.front(router_index).close();
         self.callers.refused(id, now);
         costs.refuse_us
     }
