--- a/crates/admit/src/accept.rs
+++ b/crates/admit/src/accept.rs
@@ -79,6 +79,9 @@
 pub struct AcceptPolicy {
     settings: AcceptSettings,
     state: Saturation,
+    /// Whether the connections were at their limit when last recorded, so that none is
+    /// accepted.
+    is_at_limit: bool,
     /// Time for which this router must be below the limits to recover, in milliseconds:
     /// from [`AcceptSettings::recovery_ms`] to [`AcceptSettings::max_recovery_ms`].
     recovery_ms: Millis,
@@ -97,6 +100,7 @@
         Self {
             settings,
             state: Saturation::Free { over_since: None, recovered_at: None },
+            is_at_limit: false,
             recovery_ms: settings.recovery_ms,
             others: BTreeMap::new(),
         }
@@ -114,6 +118,7 @@
     /// whether the router became saturated or recovered.
     pub fn record(&mut self, connections: usize, late_ms: Millis, now: Millis) -> bool {
         let is_over = !self.may_accept(connections, late_ms, 0);
+        self.is_at_limit = connections >= self.settings.max_connections;
         let was_saturated = self.is_saturated();
         self.state = match self.state {
             Saturation::Free { over_since, recovered_at } => {
@@ -166,9 +171,10 @@
         matches!(self.state, Saturation::Saturated { .. })
     }
 
-    /// Whether callers of this router should use others.
+    /// Whether callers of this router should use others. They should also if no router
+    /// is free but this one accepts no connection.
     pub fn sends_callers_away(&self) -> bool {
-        self.is_saturated() && self.enough_are_free()
+        self.is_saturated() && (self.is_at_limit || self.enough_are_free())
     }
 
     /// Whether callers should not be told of another router.
--- a/crates/admit/src/memory.rs
+++ b/crates/admit/src/memory.rs
@@ -86,19 +86,19 @@
     /// # Errors
     /// Returns the reason if the budget or the account's part of it is used up.
     pub fn hold(&mut self, account: Option<&Name>, bytes: usize) -> Result<HoldKey, MemoryRefusal> {
-        if self.is_full {
-            return Err(MemoryRefusal::Full);
-        }
         let account = account.cloned();
+        if bytes > 0 {
+            self.check_new(&account, bytes)?;
+        }
         self.add(&account, bytes)?;
         Ok(self.holds.insert(Hold { account, bytes }))
     }
 
-    /// Holds `bytes` more for a request that has been taken.
+    /// Holds `bytes` more for a request that has been taken, also if its account has
+    /// used up its part since.
     ///
     /// # Errors
-    /// Returns the reason if the budget or the account's part of it is used up; the
-    /// bytes held before remain held.
+    /// Returns an error if the budget is used up; the bytes held before remain held.
     pub fn grow(&mut self, key: HoldKey, bytes: usize) -> Result<(), MemoryRefusal> {
         let Some(hold) = self.holds.get(key) else { return Err(MemoryRefusal::Full) };
         let account = hold.account.clone();
@@ -122,19 +122,26 @@
         self.update_full();
     }
 
-    fn add(&mut self, account: &Option<Name>, bytes: usize) -> Result<(), MemoryRefusal> {
-        let limit = self.settings.limit_bytes;
-        let used = self.used.saturating_add(bytes);
-        if used > limit {
+    fn check_new(&self, account: &Option<Name>, bytes: usize) -> Result<(), MemoryRefusal> {
+        let left = self.settings.limit_bytes.saturating_sub(self.used.saturating_add(bytes));
+        if self.is_full || left == 0 {
             return Err(MemoryRefusal::Full);
         }
         let held = self.accounts.get(account).copied().unwrap_or_default() + bytes;
-        if held as f64 > (limit - used) as f64 * self.settings.account_factor {
-            return Err(MemoryRefusal::AccountLimit);
+        match held as f64 > left as f64 * self.settings.account_factor {
+            true => Err(MemoryRefusal::AccountLimit),
+            false => Ok(()),
+        }
+    }
+
+    fn add(&mut self, account: &Option<Name>, bytes: usize) -> Result<(), MemoryRefusal> {
+        let used = self.used.saturating_add(bytes);
+        if used > self.settings.limit_bytes {
+            return Err(MemoryRefusal::Full);
         }
         self.used = used;
-        if held > 0 {
-            self.accounts.insert(account.clone(), held);
+        if bytes > 0 {
+            *self.accounts.entry(account.clone()).or_default() += bytes;
         }
         self.update_full();
         Ok(())
--- a/crates/admit/tests/accept.rs
+++ b/crates/admit/tests/accept.rs
@@ -15,6 +15,7 @@
     AcceptSettings {
         max_connections: MAX_CONNECTIONS,
         max_lateness_ms: LATE_MS,
+        max_pause_ms: 500,
         saturated_after_ms: 100,
         recovery_ms: 4_000,
         max_recovery_ms: 20_000,
@@ -53,16 +54,16 @@
 /// Guards against an accept beyond the descriptors of the process.
 #[test]
 fn no_connection_is_accepted_at_the_limit_of_connections() {
-    assert!(policy().may_accept(MAX_CONNECTIONS - 1, 0));
-    assert!(!policy().may_accept(MAX_CONNECTIONS, 0));
-    assert!(!policy().may_accept(MAX_CONNECTIONS + 1, 0));
+    assert!(policy().may_accept(MAX_CONNECTIONS - 1, 0, 0));
+    assert!(!policy().may_accept(MAX_CONNECTIONS, 0, 0));
+    assert!(!policy().may_accept(MAX_CONNECTIONS + 1, 0, 0));
 }
 
 /// Guards against work that is taken by a thread that can't do what it has.
 #[test]
 fn no_connection_is_accepted_while_the_thread_is_late() {
-    assert!(policy().may_accept(0, LATE_MS - 1));
-    assert!(!policy().may_accept(0, LATE_MS));
+    assert!(policy().may_accept(0, LATE_MS - 1, 0));
+    assert!(!policy().may_accept(0, LATE_MS, 0));
 }
 
 /// Guards against a saturated router that leaves its processor unused until its
@@ -70,7 +71,7 @@
 #[test]
 fn saturated_router_accepts_while_it_is_below_the_limits() {
     let policy = saturated_policy(1_000);
-    assert!(policy.may_accept(0, 0));
+    assert!(policy.may_accept(0, 0, 0));
 }
 
 /// Guards against callers that are sent away for seconds after one late tick, such as
@@ -328,7 +329,7 @@
                 let has_changed = policy.record(connections, late_ms, history.now);
                 assert_eq!(has_changed, policy.is_saturated() != was_saturated);
                 let is_over = connections >= MAX_CONNECTIONS || late_ms >= LATE_MS;
-                assert_eq!(policy.may_accept(connections, late_ms), !is_over);
+                assert_eq!(policy.may_accept(connections, late_ms, 0), !is_over);
             }
             Step::Hear { router, is_saturated } => {
                 policy.record_other(router_name(router), is_saturated, history.now);
--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -102,7 +102,7 @@
 ) {
     let worker = Worker::new(Arc::clone(&context));
     worker.start();
-    let idle = Rc::clone(&worker.idle);
+    let connections = Rc::clone(&worker.connections);
     let config: SharedCfg = run::http_config();
     let factory = HttpService::h1(fn_service(move |request: Request| {
         let worker = Rc::clone(&worker);
@@ -121,15 +121,15 @@
                 continue;
             }
         };
-        let (pipeline, idle) = (pipeline.clone(), Rc::clone(&idle));
+        let (pipeline, connections) = (pipeline.clone(), Rc::clone(&connections));
         let io_ref = io.get_ref();
-        idle.insert(io_ref.clone(), context.now());
+        connections.insert(io_ref.clone(), context.now());
         ntex::rt::spawn(async move {
             // The request's own line tells how it ended.
             if let Err(cause) = pipeline.call(io).await {
                 tracing::trace!(unit = "accept", event = "connection_ended", %cause);
             }
-            idle.remove(&io_ref);
+            connections.remove(&io_ref);
             drop(guard);
         });
     }
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -7,66 +7,119 @@
 
 use base::{Millis, MonoClock};
 use ntex::io::IoRef;
+use tokio::time::Instant;
 
-/// Part of the largest number of connections, in eighths, from which on idle ones are
-/// closed, and down to which.
-const CLOSE_IDLE_EIGHTHS: (usize, usize) = (7, 6);
+/// Fractions of the largest number of connections: from the first one on, idle ones are
+/// closed until the second one is left.
+const CLOSE_FROM: f64 = 0.875;
+const CLOSE_DOWN_TO: f64 = 0.75;
 
-/// Connections without a request in progress.
+/// A connection without a request in progress.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum IdleState {
+    Since(Millis),
+    /// Closed by this router. A request that arrives nevertheless is not passed on.
+    Closing,
+}
+
+/// Connections without a request in progress, and the deadlines of streams.
 #[derive(Debug, Default)]
-pub(crate) struct IdleConnections(RefCell<HashMap<IoRef, Millis>>);
+pub(crate) struct CallerConnections {
+    idle: RefCell<HashMap<IoRef, IdleState>>,
+    deadlines: RefCell<HashMap<IoRef, Instant>>,
+}
 
 /// A connection with a request in progress. It is idle again once this is dropped.
 pub(crate) struct BusyConnection {
-    connections: Rc<IdleConnections>,
+    connections: Rc<CallerConnections>,
     io: IoRef,
     clock: MonoClock,
 }
 
-impl IdleConnections {
+impl CallerConnections {
     /// Records a connection as idle since `now`.
     pub(crate) fn insert(&self, io: IoRef, now: Millis) {
-        self.0.borrow_mut().insert(io, now);
+        self.idle.borrow_mut().insert(io, IdleState::Since(now));
     }
 
-    /// Forgets a connection that was closed.
+    /// Forgets a connection that has ended.
     pub(crate) fn remove(&self, io: &IoRef) {
-        self.0.borrow_mut().remove(io);
+        self.idle.borrow_mut().remove(io);
     }
 
     /// Closes the connections that have been idle longest if `open` connections are
     /// close to `max`. Returns how many.
     pub(crate) fn close_longest_idle(&self, open: usize, max: usize) -> usize {
-        let (from, down_to) = CLOSE_IDLE_EIGHTHS;
-        if open < max * from / 8 {
+        let mut idle = self.idle.borrow_mut();
+        let closing = idle.values().filter(|state| **state == IdleState::Closing).count();
+        let open = open.saturating_sub(closing);
+        let max = max as f64;
+        if (open as f64) < max * CLOSE_FROM {
             return 0;
         }
-        let mut idle = self.0.borrow_mut();
-        let mut oldest: Vec<(Millis, IoRef)> =
-            idle.iter().map(|(io, since)| (*since, io.clone())).collect();
+        let mut oldest: Vec<(Millis, IoRef)> = Vec::new();
+        for (io, state) in idle.iter() {
+            // Bytes that were read may be a request, which has to be answered.
+            if let IdleState::Since(since) = state
+                && io.with_read_buf(|bytes| bytes.is_empty())
+            {
+                oldest.push((*since, io.clone()));
+            }
+        }
         oldest.sort_by_key(|(since, _)| *since);
-        oldest.truncate(open - max * down_to / 8);
+        oldest.truncate(open.saturating_sub((max * CLOSE_DOWN_TO) as usize));
         for (_, io) in &oldest {
             io.close();
-            idle.remove(io);
+            idle.insert(io.clone(), IdleState::Closing);
         }
         oldest.len()
     }
+
+    /// Terminates the connections whose callers have not taken their stream by its
+    /// deadline. Returns how many.
+    pub(crate) fn terminate_overdue(&self, now: Instant) -> usize {
+        let mut deadlines = self.deadlines.borrow_mut();
+        let overdue: Vec<IoRef> = deadlines
+            .iter()
+            .filter(|(_, deadline)| **deadline < now)
+            .map(|(io, _)| io.clone())
+            .collect();
+        for io in &overdue {
+            deadlines.remove(io);
+            io.terminate();
+        }
+        overdue.len()
+    }
 }
 
 impl BusyConnection {
-    pub(crate) fn new(connections: &Rc<IdleConnections>, io: &IoRef, clock: &MonoClock) -> Self {
-        connections.remove(io);
-        Self { connections: Rc::clone(connections), io: io.clone(), clock: clock.clone() }
+    /// Begins a request; `None` if this router has closed the connection.
+    pub(crate) fn begin(
+        connections: &Rc<CallerConnections>,
+        io: &IoRef,
+        clock: &MonoClock,
+    ) -> Option<Self> {
+        let mut idle = connections.idle.borrow_mut();
+        if idle.get(io) == Some(&IdleState::Closing) {
+            return None;
+        }
+        idle.remove(io);
+        Some(Self { connections: Rc::clone(connections), io: io.clone(), clock: clock.clone() })
     }
 
     pub(crate) fn io(&self) -> &IoRef {
         &self.io
     }
+
+    /// Bounds the time that the caller has to take a stream.
+    pub(crate) fn set_deadline(&self, deadline: Instant) {
+        self.connections.deadlines.borrow_mut().insert(self.io.clone(), deadline);
+    }
 }
 
 impl Drop for BusyConnection {
     fn drop(&mut self) {
+        self.connections.deadlines.borrow_mut().remove(&self.io);
         if !self.io.is_closed() {
             self.connections.insert(self.io.clone(), self.clock.now());
         }
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -13,7 +13,7 @@
 use crate::call::{AdmittedCall, ReceivedCall};
 use crate::connections::BusyConnection;
 use crate::headers::end_to_end_headers;
-use crate::reader::ResponseReader;
+use crate::reader::{ReadFailure, ResponseReader};
 use crate::refusal::{Refusal, RefusalCause};
 use crate::relay::{OpenStream, RelayBody, StreamRelay};
 use crate::report::{CallEnd, CallReport};
@@ -44,6 +44,8 @@
 pub(crate) async fn serve(worker: Rc<Worker>, mut request: Request) -> Response<RelayBody> {
     let context = &worker.context;
     let connection = request.io().map(|io| worker.begin_request(io));
+    let is_connection_closed = matches!(connection, Some(None));
+    let connection = connection.flatten();
     let caller = request.peer_addr().map(|address| address.ip());
     let received = ReceivedCall::read(context, &mut request);
     let mut report = CallReport::new(context, received.id(), caller, received.received_at);
@@ -51,9 +53,12 @@
     let refuse = |report: &mut CallReport, refusal: Refusal| {
         report.finish_refused(&refusal);
         let id = id.as_deref().map(|id| (context.format.id_header(), id));
-        refusal.into_response(id, context.is_draining())
+        refusal.into_response(id, context.closes_connections())
     };
     let mut body = BodyReader::new(&mut request);
+    if is_connection_closed {
+        return refuse(&mut report, Refusal::new(RefusalCause::ConnectionClosed));
+    }
     if context.is_closed() {
         discard_body(&mut body).await;
         let refusal = Refusal::retry_after(RefusalCause::Draining, DRAINING_RETRY_MS);
@@ -83,6 +88,10 @@
     };
     let admitted = share::admit(context, routed, body);
     report.record_admission(&admitted);
+    if admitted.routed.remaining_ms(context.now()) == 0 {
+        refund_cost(&worker, &admitted);
+        return refuse(&mut report, Refusal::new(RefusalCause::TimeoutUnsent));
+    }
     let mut attempts = Attempts::default();
     let remaining_ms = admitted.routed.remaining_ms(context.now());
     let deadline = Instant::now() + Duration::from_millis(remaining_ms);
@@ -116,7 +125,7 @@
             stream_response(&worker, admitted, attempts, *stream, connection, deadline, report)
         }
     };
-    if context.is_draining() {
+    if context.closes_connections() {
         response.head_mut().set_connection_type(ConnectionType::Close);
     }
     response
@@ -154,11 +163,12 @@
             }
             (false, _) => buffer_response(worker, call, ResponseReader::of_plain(exchange)).await,
         };
-        let cause = match result {
+        let (cause, is_own_lack) = match result {
             Ok(ready) => return Ok(ready),
-            Err(cause) => cause,
+            Err(ReadFailure::Lost(cause)) => (cause, false),
+            Err(cause @ ReadFailure::NoMemory) => (cause.to_string(), true),
         };
-        let is_retryable = call.routed.route.kind.is_retryable();
+        let is_retryable = call.routed.route.kind.is_retryable() && !is_own_lack;
         let will_retry = is_retryable && crate::send::take_retry(worker, call, attempts);
         tracing::info!(
             unit = "pipeline",
@@ -174,8 +184,9 @@
     }
 }
 
-async fn begin_stream(exchange: TargetExchange) -> Result<ReadyResponse, String> {
-    let stream = StreamRelay::open(ResponseReader::of_stream(exchange)).await?;
+async fn begin_stream(exchange: TargetExchange) -> Result<ReadyResponse, ReadFailure> {
+    let stream = StreamRelay::open(ResponseReader::of_stream(exchange)).await;
+    let stream = stream.map_err(ReadFailure::Lost)?;
     Ok(ReadyResponse::Stream(Box::new(stream)))
 }
 
@@ -183,7 +194,7 @@
     worker: &Worker,
     call: &AdmittedCall,
     reader: ResponseReader,
-) -> Result<ReadyResponse, String> {
+) -> Result<ReadyResponse, ReadFailure> {
     let (head, bytes) = reader.read_to_end(worker, &call.body, MAX_BUFFERED_BYTES).await?;
     let body = RelayBody::Whole(Bytes::copy_from_slice(&bytes));
     let mut response = Response::with_body(head.status, body);
--- a/crates/gateway/src/reader.rs
+++ b/crates/gateway/src/reader.rs
@@ -6,6 +6,7 @@
 use outbound::{BodyFraming, Connection};
 use sse::EventBoundary;
 use target::RequestOutcome;
+use thiserror::Error;
 
 use crate::call::HeldBody;
 use crate::headers::{is_event_stream, keep_alive_timeout};
@@ -13,6 +14,17 @@
 use crate::send::{OutstandingRequest, TargetExchange};
 use crate::worker::Worker;
 
+/// Why a response was not read to its end.
+#[derive(Debug, Error)]
+pub(crate) enum ReadFailure {
+    #[error("{0}")]
+    Lost(String),
+    /// The response does not fit into this router's memory, which says nothing about the
+    /// target.
+    #[error("the response does not fit into the memory of this router")]
+    NoMemory,
+}
+
 /// Reads the body of a target's response.
 pub(crate) struct ResponseReader {
     head: Parts,
@@ -92,18 +104,19 @@
         worker: &Worker,
         held: &HeldBody,
         max_bytes: usize,
-    ) -> Result<(Parts, Bytes), String> {
+    ) -> Result<(Parts, Bytes), ReadFailure> {
         self.record_first_byte();
         let mut body = Vec::new();
         loop {
             match self.next_bytes().await {
                 Ok(Some(bytes)) if body.len() + bytes.len() > max_bytes => {
                     self.fail();
-                    return Err(format!("answer has over {max_bytes} bytes"));
+                    let cause = format!("answer has over {max_bytes} bytes");
+                    return Err(ReadFailure::Lost(cause));
                 }
                 Ok(Some(bytes)) => {
-                    if let Err(refusal) = held.grow(bytes.len()) {
-                        return Err(format!("answer does not fit: {:?}", refusal.cause));
+                    if held.grow(bytes.len()).is_err() {
+                        return Err(ReadFailure::NoMemory);
                     }
                     body.extend_from_slice(&bytes);
                 }
@@ -113,7 +126,7 @@
                 Ok(None) => return Ok((self.complete(worker), body.into())),
                 Err(cause) => {
                     self.break_off();
-                    return Err(cause);
+                    return Err(ReadFailure::Lost(cause));
                 }
             }
         }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -24,6 +24,8 @@
     HeadTooLarge,
     BodyTooLarge,
     BodyTooSlow,
+    /// The router has closed the connection of the request.
+    ConnectionClosed,
     /// The router holds as many bytes as its memory allows.
     MemoryFull,
     /// The client account holds its part of the router's memory.
@@ -88,6 +90,7 @@
             Cause::NoConfiguration
             | Cause::Draining
             | Cause::RouterLate
+            | Cause::ConnectionClosed
             | Cause::MemoryFull
             | Cause::AccountMemory
             | Cause::RouterExhausted
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -118,6 +118,9 @@
         report: CallReport,
     ) -> Self {
         let OpenStream { reader, first_chunk } = stream;
+        if let Some(connection) = &connection {
+            connection.set_deadline(deadline);
+        }
         let is_resumable = call.routed.route.kind.is_retryable() && reader.is_event_stream();
         let splitter = is_resumable.then(EventSplitter::default);
         Self {
--- a/crates/gateway/src/worker.rs
+++ b/crates/gateway/src/worker.rs
@@ -14,7 +14,7 @@
 };
 use target::TargetEntry;
 
-use crate::connections::{BusyConnection, IdleConnections};
+use crate::connections::{BusyConnection, CallerConnections};
 use crate::context::GatewayContext;
 
 /// Time to open a connection to a target: allows for a round trip between failure
@@ -32,7 +32,7 @@
 pub(crate) struct Worker {
     pub(crate) context: Arc<GatewayContext>,
     pool: RefCell<ConnectionPool<ConnectionKey>>,
-    pub(crate) idle: Rc<IdleConnections>,
+    pub(crate) connections: Rc<CallerConnections>,
 }
 
 /// Whether a request may use an idle connection.
@@ -47,7 +47,7 @@
 impl Worker {
     pub(crate) fn new(context: Arc<GatewayContext>) -> Rc<Self> {
         let pool = RefCell::new(ConnectionPool::new(PoolSettings::default()));
-        Rc::new(Self { context, pool, idle: Rc::default() })
+        Rc::new(Self { context, pool, connections: Rc::default() })
     }
 
     /// Starts the periodic tasks of the thread, which run until the process stops.
@@ -56,9 +56,10 @@
         ntex::rt::spawn(watch_lateness(Rc::clone(self)));
     }
 
-    /// Marks a caller's connection as busy until the guard is dropped.
-    pub(crate) fn begin_request(&self, io: &IoRef) -> BusyConnection {
-        BusyConnection::new(&self.idle, io, &self.context.clock)
+    /// Marks a caller's connection as busy until the guard is dropped; `None` if this
+    /// router has closed it.
+    pub(crate) fn begin_request(&self, io: &IoRef) -> Option<BusyConnection> {
+        BusyConnection::begin(&self.connections, io, &self.context.clock)
     }
 
     /// Returns an idle or a new connection to a target.
@@ -110,7 +111,7 @@
     /// Closes callers' idle connections if there are close to as many as allowed.
     fn close_longest_idle(&self, connections: usize) {
         let max_connections = self.context.settings.resources.max_caller_connections();
-        let closed = self.idle.close_longest_idle(connections, max_connections);
+        let closed = self.connections.close_longest_idle(connections, max_connections);
         if closed > 0 {
             self.context.metrics.count("idle_connections_closed", closed as i64).ok();
             tracing::info!(unit = "accept", event = "idle_closed", closed, connections);
@@ -130,6 +131,10 @@
     while !worker.context.shutdown.is_cancelled() {
         tokio::time::sleep(SWEEP_PERIOD).await;
         worker.sweep();
+        let terminated = worker.connections.terminate_overdue(tokio::time::Instant::now());
+        if terminated > 0 {
+            tracing::info!(unit = "accept", event = "unread_terminated", terminated);
+        }
     }
 }
 
--- a/crates/gateway/tests/fair_service/front.rs
+++ b/crates/gateway/tests/fair_service/front.rs
@@ -134,7 +134,8 @@
     /// Accepts connections, as another thread does.
     fn accept_waiting(&mut self, now: Millis) {
         while self.handed_over.len() < self.limits.max_handed_over {
-            let may_accept = self.policy.may_accept(self.connections, self.lateness.late_ms(now));
+            let may_accept =
+                self.policy.may_accept(self.connections, self.lateness.late_ms(now), 0);
             if !may_accept && self.limits.when_full == WhenFull::Wait {
                 return;
             }
