admit: keep what is left of a full memory budget for accounts that hold nothing

Four accounts that held as much as they could brought the budget over the fraction from which on no request was taken, so that requests of all others were refused as MemoryFull, even without a body. A full budget now refuses only accounts that hold something; the threshold still gives each other account half of what is left.

--- a/crates/admit/src/memory.rs
+++ b/crates/admit/src/memory.rs
@@ -6,8 +6,8 @@
 //! is ended with everything that it has accepted.
 //!
 //! The budget is shared by dynamic thresholds: an account may hold as much as is left
-//! over, times a factor. So one account alone gets half of the budget, and some of it
-//! is always left for an account that holds nothing.
+//! over, times a factor. So one account alone gets half of the budget. What is left once
+//! it is full is kept for accounts that hold nothing.
 
 use std::collections::HashMap;
 
@@ -26,9 +26,10 @@
     pub limit_bytes: usize,
     /// An account may hold this many times the bytes that are left over.
     pub account_factor: f64,
-    /// Fraction of the limit from which on no further request is taken.
+    /// Fraction of the limit from which on only requests of accounts that hold nothing
+    /// are taken. Few accounts could otherwise keep all others out.
     pub full_at: f64,
-    /// Fraction of the limit below which requests are taken again.
+    /// Fraction of the limit below which all requests are taken again.
     pub resume_at: f64,
 }
 
@@ -76,7 +77,7 @@
         self.used
     }
 
-    /// Whether no further request is taken.
+    /// Whether only requests of accounts that hold nothing are taken.
     pub fn is_full(&self) -> bool {
         self.is_full
     }
@@ -87,22 +88,47 @@
     /// Returns the reason if the budget or the account's part of it is used up.
     pub fn hold(&mut self, account: Option<&Name>, bytes: usize) -> Result<HoldKey, MemoryRefusal> {
         let account = account.cloned();
+        // A request without a body takes nothing from others.
         if bytes > 0 {
-            self.check_new(&account, bytes)?;
+            if self.is_full && self.accounts.contains_key(&account) {
+                return Err(MemoryRefusal::Full);
+            }
+            self.check_part(&account, bytes)?;
+            self.add(&account, bytes)?;
         }
-        self.add(&account, bytes)?;
         Ok(self.holds.insert(Hold { account, bytes }))
     }
 
-    /// Holds `bytes` more for a request that has been taken, also if its account has
-    /// used up its part since.
+    /// Holds `bytes` more of the body of a request.
     ///
     /// # Errors
-    /// Returns an error if the budget is used up; the bytes held before remain held.
+    /// Returns the reason if the budget or the account's part of it is used up; the
+    /// bytes held before remain held.
     pub fn grow(&mut self, key: HoldKey, bytes: usize) -> Result<(), MemoryRefusal> {
         let Some(hold) = self.holds.get(key) else { return Err(MemoryRefusal::Full) };
         let account = hold.account.clone();
-        self.add(&account, bytes)?;
+        self.check_part(&account, bytes)?;
+        self.grow_hold(key, &account, bytes)
+    }
+
+    /// Holds `bytes` of the response to a request. The request has run, so its account
+    /// may exceed its part.
+    ///
+    /// # Errors
+    /// Returns an error if the budget is used up; the bytes held before remain held.
+    pub fn hold_response(&mut self, key: HoldKey, bytes: usize) -> Result<(), MemoryRefusal> {
+        let Some(hold) = self.holds.get(key) else { return Err(MemoryRefusal::Full) };
+        let account = hold.account.clone();
+        self.grow_hold(key, &account, bytes)
+    }
+
+    fn grow_hold(
+        &mut self,
+        key: HoldKey,
+        account: &Option<Name>,
+        bytes: usize,
+    ) -> Result<(), MemoryRefusal> {
+        self.add(account, bytes)?;
         if let Some(hold) = self.holds.get_mut(key) {
             hold.bytes += bytes;
         }
@@ -122,11 +148,12 @@
         self.update_full();
     }
 
-    fn check_new(&self, account: &Option<Name>, bytes: usize) -> Result<(), MemoryRefusal> {
-        let left = self.settings.limit_bytes.saturating_sub(self.used.saturating_add(bytes));
-        if self.is_full || left == 0 {
+    /// Checks that an account stays within its part with `bytes` more.
+    fn check_part(&self, account: &Option<Name>, bytes: usize) -> Result<(), MemoryRefusal> {
+        let used = self.used.saturating_add(bytes);
+        let Some(left) = self.settings.limit_bytes.checked_sub(used) else {
             return Err(MemoryRefusal::Full);
-        }
+        };
         let held = self.accounts.get(account).copied().unwrap_or_default() + bytes;
         match held as f64 > left as f64 * self.settings.account_factor {
             true => Err(MemoryRefusal::AccountLimit),
