gateway: refuse a request whose time is over before it is sent

A body that arrived after the timeout of its route was sent to a target all the same: the timeout is polled after the first step of sending. The caller got 504, which leaves open whether the request ran, and a target ran it for nobody. It is now refused as TimeoutUnsent.

--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -86,6 +86,9 @@
             return refuse(&mut report, refusal);
         }
     };
+    if routed.remaining_ms(context.now()) == 0 {
+        return refuse(&mut report, Refusal::new(RefusalCause::TimeoutUnsent));
+    }
     let admitted = share::admit(context, routed, body);
     report.record_admission(&admitted);
     if admitted.routed.remaining_ms(context.now()) == 0 {
