gateway: count a buffered response until its caller has taken it

The bytes of a response counted only while it was read from its target. Then all of it was written to the buffer of the caller's connection, in a second copy, and counted no more; callers that do not read could raise the memory without a bound. The response is now passed on in parts of 16 kB as its caller takes them. It counts until then, its connection is not idle (and so not closed for others), and its request is open.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -226,11 +226,17 @@
         self.held = None;
     }
 
+    /// Frees the body of a request that has been answered. Its bytes count until the
+    /// caller has taken the response, as does the response itself.
+    pub(crate) fn free_bytes(&mut self) {
+        self.bytes = Bytes::new();
+    }
+
     /// Counts the bytes of a response that is buffered for the same request.
     ///
     /// # Errors
     /// Returns a refusal if they do not fit into the memory.
-    pub(crate) fn grow(&self, bytes: usize) -> Result<(), Refusal> {
-        self.held.as_ref().map_or(Ok(()), |held| held.grow(bytes))
+    pub(crate) fn hold_response(&self, bytes: usize) -> Result<(), Refusal> {
+        self.held.as_ref().map_or(Ok(()), |held| held.hold_response(bytes))
     }
 }
--- a/crates/gateway/src/held.rs
+++ b/crates/gateway/src/held.rs
@@ -33,13 +33,21 @@
         Ok(Self { context: Arc::clone(context), key })
     }
 
-    /// Holds `bytes` more.
+    /// Holds `bytes` more of the body.
     ///
     /// # Errors
     /// Refuses the request if the memory of the process does not allow it.
     pub(crate) fn grow(&self, bytes: usize) -> Result<(), Refusal> {
         self.context.memory().grow(self.key, bytes).map_err(refusal)
     }
+
+    /// Holds `bytes` of the response to the request.
+    ///
+    /// # Errors
+    /// Returns a refusal if the memory of the process does not allow it.
+    pub(crate) fn hold_response(&self, bytes: usize) -> Result<(), Refusal> {
+        self.context.memory().hold_response(self.key, bytes).map_err(refusal)
+    }
 }
 
 impl Drop for HeldBytes {
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -5,8 +5,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use http::response::Parts;
 use ntex::http::{ConnectionType, Request, Response};
-use ntex::util::Bytes;
 use tokio::time::Instant;
 
 use crate::body::BodyReader;
@@ -15,7 +15,7 @@
 use crate::headers::end_to_end_headers;
 use crate::reader::{ReadFailure, ResponseReader};
 use crate::refusal::{Refusal, RefusalCause};
-use crate::relay::{OpenStream, RelayBody, StreamRelay};
+use crate::relay::{BufferedBody, OpenStream, RelayBody, StreamRelay};
 use crate::report::{CallEnd, CallReport};
 use crate::send::{Attempts, TargetExchange, send};
 use crate::share;
@@ -36,7 +36,7 @@
 
 /// A response that is ready to be forwarded.
 enum ReadyResponse {
-    Whole(Response<RelayBody>),
+    Whole(Box<Parts>, hyper::body::Bytes),
     Stream(Box<OpenStream>),
 }
 
@@ -91,10 +91,6 @@
     }
     let admitted = share::admit(context, routed, body);
     report.record_admission(&admitted);
-    if admitted.routed.remaining_ms(context.now()) == 0 {
-        refund_cost(&worker, &admitted);
-        return refuse(&mut report, Refusal::new(RefusalCause::TimeoutUnsent));
-    }
     let mut attempts = Attempts::default();
     let remaining_ms = admitted.routed.remaining_ms(context.now());
     let deadline = Instant::now() + Duration::from_millis(remaining_ms);
@@ -118,10 +114,13 @@
         }
     };
     let mut response = match ready {
-        ReadyResponse::Whole(response) => {
-            report.record_first_byte(response.status().as_u16());
+        ReadyResponse::Whole(head, bytes) => {
+            report.record_first_byte(head.status.as_u16());
             report.finish(CallEnd::Answered, "complete");
-            response
+            if let Some(connection) = &connection {
+                connection.set_deadline(deadline);
+            }
+            buffered_response(&head, BufferedBody::new(bytes, admitted.body, connection, report))
         }
         ReadyResponse::Stream(stream) => {
             report.record_first_byte(stream.head().status.as_u16());
@@ -199,10 +198,13 @@
     reader: ResponseReader,
 ) -> Result<ReadyResponse, ReadFailure> {
     let (head, bytes) = reader.read_to_end(worker, &call.body, MAX_BUFFERED_BYTES).await?;
-    let body = RelayBody::Whole(Bytes::copy_from_slice(&bytes));
-    let mut response = Response::with_body(head.status, body);
+    Ok(ReadyResponse::Whole(Box::new(head), bytes))
+}
+
+fn buffered_response(head: &Parts, body: BufferedBody) -> Response<RelayBody> {
+    let mut response = Response::with_body(head.status, RelayBody::Buffered(Box::new(body)));
     response.head_mut().headers = end_to_end_headers(&head.headers);
-    Ok(ReadyResponse::Whole(response))
+    response
 }
 
 fn stream_response(
--- a/crates/gateway/src/reader.rs
+++ b/crates/gateway/src/reader.rs
@@ -106,7 +106,8 @@
         max_bytes: usize,
     ) -> Result<(Parts, Bytes), ReadFailure> {
         self.record_first_byte();
-        let mut body = Vec::new();
+        let expected = self.remaining_bytes().unwrap_or_default();
+        let mut body = Vec::with_capacity(max_bytes.min(expected as usize));
         loop {
             match self.next_bytes().await {
                 Ok(Some(bytes)) if body.len() + bytes.len() > max_bytes => {
@@ -115,7 +116,7 @@
                     return Err(ReadFailure::Lost(cause));
                 }
                 Ok(Some(bytes)) => {
-                    if held.grow(bytes.len()).is_err() {
+                    if held.hold_response(bytes.len()).is_err() {
                         return Err(ReadFailure::NoMemory);
                     }
                     body.extend_from_slice(&bytes);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -18,7 +18,7 @@
 use thiserror::Error as ThisError;
 use tokio::time::Instant;
 
-use crate::call::AdmittedCall;
+use crate::call::{AdmittedCall, HeldBody};
 use crate::connections::BusyConnection;
 use crate::headers::is_event_stream;
 use crate::reader::ResponseReader;
@@ -46,9 +46,14 @@
 
 type ChunkStream = Pin<Box<dyn Stream<Item = Result<Bytes, RelayError>>>>;
 
+/// Largest part of a buffered response that is passed to the connection at once, in
+/// bytes. The next one is passed on when the caller has taken most of it.
+const PART_BYTES: usize = 16 << 10;
+
 /// Body of a response to a caller.
 pub(crate) enum RelayBody {
     Whole(Bytes),
+    Buffered(Box<BufferedBody>),
     Stream { size: BodySize, chunks: ChunkStream },
 }
 
@@ -56,6 +61,7 @@
     fn size(&self) -> BodySize {
         match self {
             Self::Whole(bytes) => BodySize::Sized(bytes.len() as u64),
+            Self::Buffered(body) => BodySize::Sized(body.bytes.len() as u64),
             Self::Stream { size, .. } => *size,
         }
     }
@@ -67,6 +73,13 @@
         match self {
             Self::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
             Self::Whole(bytes) => Poll::Ready(Some(Ok(std::mem::take(bytes)))),
+            Self::Buffered(body) => {
+                let part = body.next_part();
+                if body.bytes.is_empty() {
+                    *self = Self::Whole(Bytes::new());
+                }
+                Poll::Ready(part.map(Ok))
+            }
             Self::Stream { chunks, .. } => chunks
                 .as_mut()
                 .poll_next(cx)
@@ -75,6 +88,33 @@
     }
 }
 
+/// A target's response that was read completely. Until its caller has taken it, its bytes
+/// count against the memory of the process, its connection is not idle, and its request
+/// is open.
+pub(crate) struct BufferedBody {
+    bytes: hyper::body::Bytes,
+    _held: HeldBody,
+    _connection: Option<BusyConnection>,
+    _report: CallReport,
+}
+
+impl BufferedBody {
+    pub(crate) fn new(
+        bytes: hyper::body::Bytes,
+        mut held: HeldBody,
+        connection: Option<BusyConnection>,
+        report: CallReport,
+    ) -> Self {
+        held.free_bytes();
+        Self { bytes, _held: held, _connection: connection, _report: report }
+    }
+
+    fn next_part(&mut self) -> Option<Bytes> {
+        let part = self.bytes.split_to(self.bytes.len().min(PART_BYTES));
+        (!part.is_empty()).then(|| Bytes::copy_from_slice(&part))
+    }
+}
+
 /// Relays a streamed response from a target to a caller.
 pub(crate) struct StreamRelay {
     worker: Rc<Worker>,
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -38,6 +38,10 @@
         ("choice", "kept_at", json!([0.9, 1.1])),
         ("choice", "queue_share", json!(0.0)),
         ("choice", "overhead_ms", json!(-5.0)),
+        ("resources", "descriptors", json!(0)),
+        ("resources", "descriptors", json!(300)),
+        ("resources", "memory_mb", json!(0)),
+        ("resources", "memory_mb", json!(20)),
     ];
     for (section, key, value) in invalid {
         let cause = check_with(section, key, value).expect_err(key).to_string();
