gateway: do not close connections whose request is on its way

Near the limit of connections, new ones counted as idle until their request was read, and were closed with it unread: 2 of 6 runs of the test with 25 busy callers at a limit of 20. Only connections that were idle for 250 ms are closed now, and none while the thread is late, as requests may wait to be read then.

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -14,6 +14,13 @@
 const CLOSE_FROM: f64 = 0.875;
 const CLOSE_DOWN_TO: f64 = 0.75;
 
+/// Time in milliseconds for which a connection must be idle to be closed. The request of
+/// a new one is on its way, or waits to be read.
+const MIN_IDLE_MS: Millis = 250;
+/// Lateness of the thread in milliseconds from which on no idle connection is closed, as
+/// requests on them may have arrived and wait to be read.
+const MAX_LATENESS_MS: Millis = 50;
+
 /// A connection without a request in progress.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum IdleState {
@@ -48,8 +55,17 @@
     }
 
     /// Closes the connections that have been idle longest if `open` connections are
-    /// close to `max`. Returns how many.
-    pub(crate) fn close_longest_idle(&self, open: usize, max: usize) -> usize {
+    /// close to `max`, while the thread is late by `late_ms`. Returns how many.
+    pub(crate) fn close_longest_idle(
+        &self,
+        open: usize,
+        max: usize,
+        late_ms: Millis,
+        now: Millis,
+    ) -> usize {
+        if late_ms >= MAX_LATENESS_MS {
+            return 0;
+        }
         let mut idle = self.idle.borrow_mut();
         let closing = idle.values().filter(|state| **state == IdleState::Closing).count();
         let open = open.saturating_sub(closing);
@@ -61,6 +77,7 @@
         for (io, state) in idle.iter() {
             // Bytes that were read may be a request, which has to be answered.
             if let IdleState::Since(since) = state
+                && now >= since + MIN_IDLE_MS
                 && io.with_read_buf(|bytes| bytes.is_empty())
             {
                 oldest.push((*since, io.clone()));
--- a/crates/gateway/src/worker.rs
+++ b/crates/gateway/src/worker.rs
@@ -109,9 +109,10 @@
     }
 
     /// Closes callers' idle connections if there are close to as many as allowed.
-    fn close_longest_idle(&self, connections: usize) {
+    fn close_longest_idle(&self, connections: usize, late_ms: Millis, now: Millis) {
         let max_connections = self.context.settings.resources.max_caller_connections();
-        let closed = self.connections.close_longest_idle(connections, max_connections);
+        let closed =
+            self.connections.close_longest_idle(connections, max_connections, late_ms, now);
         if closed > 0 {
             self.context.metrics.count("idle_connections_closed", closed as i64).ok();
             tracing::info!(unit = "accept", event = "idle_closed", closed, connections);
@@ -148,7 +149,7 @@
             (lateness.tick(now), lateness.late_ms(now))
         };
         let connections = context.open_connections();
-        worker.close_longest_idle(connections);
+        worker.close_longest_idle(connections, late_ms, now);
         let has_changed = context.accept_policy().record(connections, late_ms, now);
         if has_changed {
             tracing::warn!(
