fix: responses close their connection only if other instances are free

An instance at its limit without free others closed its newest connections with their responses, where the longest idle ones were to be closed.

--- a/crates/admit/src/accept.rs
+++ b/crates/admit/src/accept.rs
@@ -174,7 +174,12 @@
     /// Whether callers of this router should use others. They should also if no router
     /// is free but this one accepts no connection.
     pub fn sends_callers_away(&self) -> bool {
-        self.is_saturated() && (self.is_at_limit || self.enough_are_free())
+        self.has_free_others() || self.is_saturated() && self.is_at_limit
+    }
+
+    /// Whether this router is saturated and others are free.
+    pub fn has_free_others(&self) -> bool {
+        self.is_saturated() && self.enough_are_free()
     }
 
     /// Whether callers should not be told of another router.
--- a/crates/admit/tests/accept.rs
+++ b/crates/admit/tests/accept.rs
@@ -349,6 +349,8 @@
         let enough_are_free = history.enough_are_free();
         let sends_away = history.is_saturated() && (enough_are_free || history.is_at_limit);
         assert_eq!(policy.sends_callers_away(), sends_away, "sends away: {history:?}");
+        let has_free_others = history.is_saturated() && enough_are_free;
+        assert_eq!(policy.has_free_others(), has_free_others, "free others: {history:?}");
         for router in 0..OTHERS {
             let is_avoided = history.other(router) == Some(true) && enough_are_free;
             assert_eq!(policy.avoids(&router_name(router)), is_avoided, "{router}: {history:?}");
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -218,10 +218,10 @@
         self.is_draining.load(Ordering::Relaxed)
     }
 
-    /// Whether responses close their connections: the router drains, or its callers
-    /// should use others.
+    /// Whether responses close their connections: the router drains, or it is saturated
+    /// and its callers can use others.
     pub(crate) fn closes_connections(&self) -> bool {
-        self.is_draining() || self.accept_policy().sends_callers_away()
+        self.is_draining() || self.accept_policy().has_free_others()
     }
 
     /// Refuses new requests from now on.
