--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -69,8 +69,9 @@
         let mut idle = self.idle.borrow_mut();
         let closing = idle.values().filter(|state| **state == IdleState::Closing).count();
         let open = open.saturating_sub(closing);
-        let max = max as f64;
-        if (open as f64) < max * CLOSE_FROM {
+        let close_from = (max as f64 * CLOSE_FROM) as usize;
+        let close_down_to = (max as f64 * CLOSE_DOWN_TO) as usize;
+        if open < close_from {
             return 0;
         }
         let mut oldest: Vec<(Millis, IoRef)> = Vec::new();
@@ -84,7 +85,7 @@
             }
         }
         oldest.sort_by_key(|(since, _)| *since);
-        oldest.truncate(open.saturating_sub((max * CLOSE_DOWN_TO) as usize));
+        oldest.truncate(open.saturating_sub(close_down_to));
         for (_, io) in &oldest {
             io.close();
             idle.insert(io.clone(), IdleState::Closing);
