--- a/crates/admit/src/accept.rs
+++ b/crates/admit/src/accept.rs
@@ -5,8 +5,8 @@
 //! ask for several times what its processor can serve. A refusal has to read the
 //! request first, and costs over half of serving it, so refusing does not relieve the
 //! router. Connections therefore wait unaccepted while the thread that serves callers
-//! is late, which costs nothing, and a router that stays late is saturated: it is not
-//! ready, so that its callers use others, and serves what it has accepted.
+//! is late, which costs no processor time, and a router that stays late is saturated: it
+//! is not ready, so that its callers use others, and serves what it has accepted.
 
 use std::collections::BTreeMap;
 
--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -1,6 +1,5 @@
-//! Accepts callers' connections. Connections are accepted on another thread than the
-//! one that serves them, so that a caller is turned away at once while that thread is
-//! late.
+//! Accepts callers' connections on another thread than the one that serves them, and
+//! leaves them in the accept queue while that thread is late.
 
 use std::io;
 use std::net::{SocketAddr, TcpStream};
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -105,22 +105,22 @@
 /// its response: buffers of both its ends, and bytes that the system has received and
 /// that are not read yet.
 const CONNECTION_BYTES: usize = 24 << 10;
-/// Part of the memory beyond the base that connections may take; the rest is for
-/// bodies and responses.
-const CONNECTION_MEMORY_SHARE: usize = 2;
+/// The memory beyond the base is divided by this for connections; the rest is for bodies
+/// and responses.
+const CONNECTION_MEMORY_DIVISOR: usize = 2;
 
 impl ResourceSettings {
     /// Returns how many connections of callers may be open at once. Each may need a
     /// second descriptor for its connection to a target.
     pub fn max_caller_connections(&self) -> usize {
         let by_descriptors = self.descriptors.saturating_sub(RESERVED_DESCRIPTORS) / 2;
-        let by_memory = self.usable_memory() / CONNECTION_MEMORY_SHARE / CONNECTION_BYTES;
+        let by_memory = self.usable_memory() / CONNECTION_MEMORY_DIVISOR / CONNECTION_BYTES;
         by_descriptors.min(by_memory).max(1)
     }
 
     /// Returns the memory that callers' bodies and responses may take, in bytes.
     pub fn held_bytes(&self) -> usize {
-        self.usable_memory() - self.usable_memory() / CONNECTION_MEMORY_SHARE
+        self.usable_memory() - self.usable_memory() / CONNECTION_MEMORY_DIVISOR
     }
 
     fn usable_memory(&self) -> usize {
