fix: changes of targets no longer wait for the configuration (DRAIN)

Cause: a router that is behind fetched the changes of targets and the configuration in one response, within 400 ms for the whole. With 2,800 to 4,200 routes the response did not arrive in time, so nothing of it was applied, and the next attempt began anew: 411 fetches failed in six seconds, and instances that used 1 to 3 % of a core were 3.7 to 6.4 s behind (behind_ms). Ruled out: late control threads (late_ms 1 to 59), a source that was not read (0.3 s).

Changes of targets are fetched alone now. The configuration is fetched by a task of its own whose time limits end a fetch only when no bytes come. A router may thereby know all newer targets from a peer and not yet the configuration that came before them; if it then has to read the source itself, it lists it, as its changes after that revision do not have the configuration.

--- a/crates/gateway/src/beats.rs
+++ b/crates/gateway/src/beats.rs
@@ -21,6 +21,7 @@
 use tokio::sync::mpsc;
 
 use crate::answers::merge_leaving;
+use crate::configuration::{ConfigurationQueue, start_configuration_fetches};
 use crate::context::GatewayContext;
 use crate::crashes::log_events;
 use crate::domains::{
@@ -29,7 +30,7 @@
 };
 use crate::messages::{
     CHANGES_PATH, ChangesRequest, ConfigurationNotice, HeartbeatNotice, HeartbeatPayload,
-    LeavingNotice, MAX_CHANGES_BYTES, MAX_HEARTBEAT_BYTES, PeerDatagram, PeerMessage,
+    LeavingNotice, MAX_CHANGES_BYTES, MAX_HEARTBEAT_BYTES, PeerChanges, PeerDatagram, PeerMessage,
     RouterCondition, append_part, decode_changes, decode_heartbeat, decode_peer_message,
     is_peer_message,
 };
@@ -54,6 +55,13 @@
     after: u64,
 }
 
+/// Fetches from peers that wait for their turn.
+#[derive(Clone, Debug)]
+struct FetchQueues {
+    changes: mpsc::Sender<PeerFetch>,
+    configuration: ConfigurationQueue,
+}
+
 /// Starts the tasks that send and receive heartbeats until the process stops.
 ///
 /// # Errors
@@ -65,10 +73,12 @@
         socket.map_err(|cause| anyhow::anyhow!("step=bind_beats peer={address}: {cause}"))?;
     let socket = Arc::new(socket);
     context.permits.set_socket(Arc::clone(&socket));
-    let (fetch_sender, fetch_receiver) = mpsc::channel(1);
+    let (changes, receiver) = mpsc::channel(1);
+    let configuration = start_configuration_fetches(context);
+    let queues = FetchQueues { changes, configuration: configuration.clone() };
     ntex::rt::spawn(send_heartbeats(Arc::clone(context), Arc::clone(&socket)));
-    ntex::rt::spawn(receive_heartbeats(Arc::clone(context), socket, fetch_sender));
-    ntex::rt::spawn(fetch_from_peers(Arc::clone(context), fetch_receiver));
+    ntex::rt::spawn(receive_heartbeats(Arc::clone(context), socket, queues));
+    ntex::rt::spawn(fetch_from_peers(Arc::clone(context), receiver, configuration));
     Ok(())
 }
 
@@ -198,7 +208,7 @@
 async fn receive_heartbeats(
     context: Arc<GatewayContext>,
     socket: Arc<UdpSocket>,
-    fetch_sender: mpsc::Sender<PeerFetch>,
+    queues: FetchQueues,
 ) {
     let mut buffer = vec![0; 64 << 10];
     while !context.shutdown.is_cancelled() {
@@ -214,13 +224,13 @@
         };
         let datagram = &buffer[..length];
         if is_peer_message(datagram) {
-            handle_message(&context, &socket, datagram, sender, &fetch_sender).await;
+            handle_message(&context, &socket, datagram, sender, &queues).await;
             continue;
         }
         match decode_heartbeat(datagram) {
             Ok(datagram) => {
                 let peer = datagram.heartbeat.header.addresses.beats;
-                if handle_heartbeat(&context, datagram, &fetch_sender) == HeartbeatOutcome::Joined {
+                if handle_heartbeat(&context, datagram, &queues) == HeartbeatOutcome::Joined {
                     // Replies at once, so that a router that has just started
                     // need not wait for the next heartbeat to learn of its peers.
                     let reply = encode_greeting(&context);
@@ -249,17 +259,17 @@
     socket: &UdpSocket,
     datagram: &[u8],
     peer: SocketAddr,
-    fetch_sender: &mpsc::Sender<PeerFetch>,
+    queues: &FetchQueues,
 ) {
     match decode_peer_message(datagram) {
         Ok(PeerMessage::PermitRequest(request)) => {
             answer_permit_request(context, socket, request, peer).await;
         }
         Ok(PeerMessage::PermitResponse(response)) => handle_permit_response(context, response),
-        Ok(PeerMessage::SourceRead(notice)) => handle_source_notice(context, &notice, fetch_sender),
+        Ok(PeerMessage::SourceRead(notice)) => handle_source_notice(context, &notice, queues),
         Ok(PeerMessage::ReportRequest(ReportRequest { header, unknown })) => {
             let peer = header.addresses.beats;
-            record_header(context, header, None, fetch_sender);
+            record_header(context, header, None, queues);
             send_report(context, socket, peer, &unknown).await;
         }
         Ok(PeerMessage::DomainMembers(report)) => {
@@ -278,11 +288,7 @@
     }
 }
 
-fn handle_source_notice(
-    context: &GatewayContext,
-    notice: &SourceNotice,
-    fetch_sender: &mpsc::Sender<PeerFetch>,
-) {
+fn handle_source_notice(context: &GatewayContext, notice: &SourceNotice, queues: &FetchQueues) {
     let now = context.now();
     let addresses = {
         let mut members = context.members();
@@ -295,7 +301,7 @@
     if context.source().record_peer_revision(notice.source.revision, now) {
         let after = context.source().revision;
         // If the channel is full, a fetch is already pending.
-        let _ = fetch_sender.try_send(PeerFetch { peer: addresses.peers, after });
+        let _ = queues.changes.try_send(PeerFetch { peer: addresses.peers, after });
     }
 }
 
@@ -327,7 +333,7 @@
 fn handle_heartbeat(
     context: &GatewayContext,
     datagram: PeerDatagram,
-    fetch_sender: &mpsc::Sender<PeerFetch>,
+    queues: &FetchQueues,
 ) -> HeartbeatOutcome {
     let now = context.now();
     let PeerDatagram { heartbeat, notice, condition, configuration, quarantine, limits, leaving } =
@@ -337,7 +343,7 @@
     let is_reported = is_reported(context, &header.domain, now);
     let peer = Name::clone(&header.origin.instance);
     let is_draining = header.is_draining;
-    let outcome = record_header(context, header, configuration.version, fetch_sender);
+    let outcome = record_header(context, header, configuration.version, queues);
     if outcome == HeartbeatOutcome::Ignored {
         return outcome;
     }
@@ -368,7 +374,7 @@
     context: &GatewayContext,
     header: HeartbeatHeader,
     version: Option<u64>,
-    fetch_sender: &mpsc::Sender<PeerFetch>,
+    queues: &FetchQueues,
 ) -> HeartbeatOutcome {
     let now = context.now();
     let peer = Name::clone(&header.origin.instance);
@@ -399,10 +405,11 @@
     let needs_all = knows_source
         && matches!(outcome, HeartbeatOutcome::Joined)
         && context.start_fetches() < START_FETCHES;
-    if needs_all || is_behind || version > context.versions().version() {
+    queues.configuration.record_version(context, addresses.peers, version);
+    if needs_all || is_behind {
         let after = if needs_all { 0 } else { context.source().revision };
         // If the channel is full, a fetch is already pending.
-        let is_queued = fetch_sender.try_send(PeerFetch { peer: addresses.peers, after }).is_ok();
+        let is_queued = queues.changes.try_send(PeerFetch { peer: addresses.peers, after }).is_ok();
         if needs_all && is_queued {
             context.count_start_fetch();
         }
@@ -413,26 +420,32 @@
 /// Fetches changes from peers with a newer revision, one at a time.
 async fn fetch_from_peers(
     context: Arc<GatewayContext>,
-    mut fetch_receiver: mpsc::Receiver<PeerFetch>,
+    mut receiver: mpsc::Receiver<PeerFetch>,
+    configuration: ConfigurationQueue,
 ) {
-    while let Some(fetch) = fetch_receiver.recv().await {
-        if let Err(cause) = fetch_changes(&context, fetch).await {
+    while let Some(fetch) = receiver.recv().await {
+        if let Err(cause) = fetch_changes(&context, fetch, &configuration).await {
             let peer = fetch.peer;
             tracing::info!(unit = "beats", event = "changes_not_fetched", %peer, cause = format!("{cause:#}"));
         }
     }
 }
 
-async fn fetch_changes(context: &GatewayContext, fetch: PeerFetch) -> anyhow::Result<()> {
+async fn fetch_changes(
+    context: &GatewayContext,
+    fetch: PeerFetch,
+    queue: &ConfigurationQueue,
+) -> anyhow::Result<()> {
     let PeerFetch { peer, after } = fetch;
-    let version = context.versions().version();
-    let request = rmp_serde::to_vec(&ChangesRequest { after, version })?;
+    let request = rmp_serde::to_vec(&ChangesRequest::of_targets(after))?;
     let mut client = FetchClient::new(peer, MAX_CHANGES_BYTES);
     let body = Bytes::from(request);
     let response = client.fetch(Method::POST, CHANGES_PATH, body, PEER_TIMEOUT).await?;
     let status = response.status();
     anyhow::ensure!(status.is_success(), "step=fetch_changes peer={peer}: status {status}");
-    let (response, notice) = decode_changes(response.body())?;
+    let PeerChanges { response, notice, configuration } = decode_changes(response.body())?;
+    // Recorded before the revision, from which this router may read the source next.
+    queue.record_version(context, peer, configuration.version);
     let now = context.now();
     if let Some(age) = response.source_recovery_age {
         context.targets().record_peer_recovery(age, now);
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -37,6 +37,10 @@
     pub(crate) read_at: Option<Millis>,
     /// When this router first heard of a newer revision from a peer, while it lacks it.
     pub(crate) behind_since: Option<Millis>,
+    /// Newest version of the configuration that a peer has announced.
+    announced_version: Option<u64>,
+    /// `announced_version` when the source was last listed.
+    listed_version: Option<u64>,
 }
 
 impl SourceProgress {
@@ -50,6 +54,23 @@
         is_behind
     }
 
+    /// Records that a peer has a version of the configuration.
+    pub(crate) fn record_announced_version(&mut self, version: Option<u64>) {
+        self.announced_version = self.announced_version.max(version);
+    }
+
+    /// Whether the source has to be listed, as its changes after `revision` may lack the
+    /// configuration: the changes before came from a peer, and `version` in force is not yet the
+    /// one that came with them. Once for each version, as a restored source may not have it.
+    pub(crate) fn must_list(&self, version: Option<u64>) -> bool {
+        self.announced_version > version && self.announced_version > self.listed_version
+    }
+
+    /// Records that the source was listed.
+    pub(crate) fn record_listing(&mut self) {
+        self.listed_version = self.announced_version;
+    }
+
     /// Records that every change up to `revision` is applied. Returns whether that advanced
     /// the view.
     pub(crate) fn advance(&mut self, revision: u64) -> bool {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -51,9 +51,13 @@
             tokio::time::sleep(CHECK_PERIOD).await;
             continue;
         }
-        let after = context.source().revision;
+        let version = context.versions().version();
+        let (after, lacks_version) = {
+            let source = context.source();
+            (source.revision, source.must_list(version))
+        };
         let started_at = context.now();
-        let (result, origin) = if needs_listing || after == 0 {
+        let (result, origin) = if needs_listing || lacks_version || after == 0 {
             (source.read_all().await, UpdateOrigin::Listing)
         } else {
             (source.read_changes(after, READ_WAIT).await, UpdateOrigin::Changes)
@@ -62,6 +66,9 @@
             Ok(update) => {
                 needs_listing = false;
                 let now = context.now();
+                if origin == UpdateOrigin::Listing {
+                    context.source().record_listing();
+                }
                 context.targets().record_source_reached(now);
                 if failures > 0 {
                     tracing::info!(unit = "follow", event = "source_regained", failures);
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -165,10 +165,22 @@
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct ChangesRequest {
     pub(crate) after: u64,
-    /// Configuration version that the requesting router has.
+    /// The response has the configuration if it is newer than this version.
     pub(crate) version: Option<u64>,
 }
 
+impl ChangesRequest {
+    /// Asks for changes of targets alone.
+    pub(crate) fn of_targets(after: u64) -> Self {
+        Self { after, version: Some(u64::MAX) }
+    }
+
+    /// Asks for the configuration alone.
+    pub(crate) fn of_configuration(version: Option<u64>) -> Self {
+        Self { after: u64::MAX, version }
+    }
+}
+
 /// The changes that a router knows after a revision.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct ChangesResponse {
@@ -190,13 +202,22 @@
     pub(crate) left: Vec<LeftTarget>,
 }
 
+/// A decoded response to a request for changes.
+#[derive(Debug)]
+pub(crate) struct PeerChanges {
+    pub(crate) response: ChangesResponse,
+    pub(crate) notice: ChangesNotice,
+    /// Of the configuration that the peer had at the revision of the response.
+    pub(crate) configuration: ConfigurationNotice,
+}
+
 /// Decodes the response of a peer to a request for changes, and what follows it.
 ///
 /// # Errors
 /// Returns an error if the body does not start with a response.
-pub(crate) fn decode_changes(
-    mut body: &[u8],
-) -> Result<(ChangesResponse, ChangesNotice), rmp_serde::decode::Error> {
+pub(crate) fn decode_changes(mut body: &[u8]) -> Result<PeerChanges, rmp_serde::decode::Error> {
     let response = rmp_serde::from_read(&mut body)?;
-    Ok((response, decode_part(&mut body).unwrap_or_default()))
+    let notice = decode_part(&mut body).unwrap_or_default();
+    let configuration = decode_part(&mut body).unwrap_or_default();
+    Ok(PeerChanges { response, notice, configuration })
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -13,7 +13,7 @@
 use crate::context::GatewayContext;
 use crate::messages::{CHANGES_PATH, ChangesRequest, append_part};
 use crate::relay::RelayBody;
-use crate::view::{changes_notice, changes_since};
+use crate::view::{changes_notice, changes_since, configuration_notice};
 
 /// Lease of an address response, in seconds. Callers may use the response three
 /// times as long, and a draining router waits for that time.
@@ -85,6 +85,8 @@
     match rmp_serde::to_vec(&changes_since(&context, changes_request)) {
         Ok(mut response) => {
             append_part(&mut response, &changes_notice(&context));
+            // Read after the revision of the response, so that it is not older.
+            append_part(&mut response, &configuration_notice(&context));
             full_response("application/msgpack", response)
         }
         Err(cause) => {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -6,7 +6,7 @@
 use target::{LeftTarget, RecordChange};
 
 use crate::context::GatewayContext;
-use crate::messages::{ChangesNotice, ChangesRequest, ChangesResponse};
+use crate::messages::{ChangesNotice, ChangesRequest, ChangesResponse, ConfigurationNotice};
 use crate::permits::retain_targets;
 use crate::platform::SourceUpdate;
 
@@ -96,6 +96,11 @@
     ChangesNotice { left: context.targets().left_targets(context.now()) }
 }
 
+/// Returns which configuration this router has.
+pub(crate) fn configuration_notice(context: &GatewayContext) -> ConfigurationNotice {
+    ConfigurationNotice { version: context.versions().version() }
+}
+
 /// Returns the changes that this router knows and a peer lacks.
 pub(crate) fn changes_since(context: &GatewayContext, request: ChangesRequest) -> ChangesResponse {
     let now: Millis = context.now();
--- a/crates/outbound/src/fetch.rs
+++ b/crates/outbound/src/fetch.rs
@@ -23,6 +23,26 @@
     Body { peer: SocketAddr, cause: String },
     #[error("step=fetch peer={peer}: no answer in {waited_ms} ms")]
     Timeout { peer: SocketAddr, waited_ms: u128 },
+    #[error("step=read_body peer={peer}: no bytes for {waited_ms} ms")]
+    Stalled { peer: SocketAddr, waited_ms: u128 },
+}
+
+/// Time limits of a fetch.
+#[derive(Clone, Copy, Debug)]
+pub struct FetchTimeouts {
+    /// Until the head of the response has arrived, including opening a connection.
+    pub head: Duration,
+    /// Between two parts of the body.
+    pub pause: Duration,
+    /// For the whole exchange.
+    pub total: Duration,
+}
+
+impl From<Duration> for FetchTimeouts {
+    /// Limits the whole exchange only.
+    fn from(total: Duration) -> Self {
+        Self { head: total, pause: total, total }
+    }
 }
 
 impl FetchError {
@@ -34,7 +54,12 @@
     /// Whether time ran out. Says nothing about the peer if the thread that waited was late
     /// itself.
     pub fn is_timeout(&self) -> bool {
-        matches!(self, Self::Timeout { .. } | Self::Exchange(ExchangeError::TimedOut { .. }))
+        matches!(
+            self,
+            Self::Timeout { .. }
+                | Self::Stalled { .. }
+                | Self::Exchange(ExchangeError::TimedOut { .. })
+        )
     }
 }
 
@@ -56,32 +81,30 @@
     /// Sends a request without headers of its own; see [`FetchClient::fetch_request`].
     ///
     /// # Errors
-    /// Returns an error if the exchange fails or the complete response doesn't
-    /// arrive within `timeout`.
+    /// Returns an error if the exchange fails or exceeds a time limit.
     pub async fn fetch(
         &mut self,
         method: Method,
         path: &str,
         body: Bytes,
-        timeout: Duration,
+        timeouts: impl Into<FetchTimeouts>,
     ) -> Result<Response<Bytes>, FetchError> {
         let request = Request::builder().method(method).uri(path);
-        self.fetch_request(request, body, timeout).await
+        self.fetch_request(request, body, timeouts).await
     }
 
-    /// Sends a request and reads the whole response. `timeout` covers the
-    /// entire exchange, including opening a connection. The connection is
-    /// reused only after a successful exchange.
+    /// Sends a request and reads the whole response. The connection is reused only after a
+    /// successful exchange.
     ///
     /// # Errors
-    /// Returns an error if the exchange fails or the complete response doesn't
-    /// arrive within `timeout`.
+    /// Returns an error if the exchange fails or exceeds a time limit.
     pub async fn fetch_request(
         &mut self,
         request: Builder,
         body: Bytes,
-        timeout: Duration,
+        timeouts: impl Into<FetchTimeouts>,
     ) -> Result<Response<Bytes>, FetchError> {
+        let FetchTimeouts { head, pause, total } = timeouts.into();
         let peer = self.peer;
         let idle = self.idle.take().filter(Connection::is_idle);
         let request = request
@@ -89,38 +112,53 @@
             .body(Full::new(body))
             .map_err(|cause| FetchError::Request { peer, cause: cause.to_string() })?;
         let max_body_bytes = self.max_body_bytes;
-        let exchange = async {
+        let timed_out =
+            |limit: Duration| FetchError::Timeout { peer, waited_ms: limit.as_millis() };
+        let begin = async {
             let mut connection = match idle {
                 Some(connection) => connection,
-                None => connect(peer, timeout).await?,
+                None => connect(peer, head).await?,
             };
-            let (head, body) = connection.exchange(request).await?.into_parts();
-            let body = read_body(body, max_body_bytes).await;
-            let body = body.map_err(|cause| FetchError::Body { peer, cause })?;
-            Ok((connection, Response::from_parts(head, body)))
+            let response = connection.exchange(request).await?;
+            Ok::<_, FetchError>((connection, response))
+        };
+        let exchange = async {
+            let begun = tokio::time::timeout(head, begin).await;
+            let (connection, response) = begun.map_err(|_| timed_out(head))??;
+            let (parts, body) = response.into_parts();
+            let body = read_body(peer, body, max_body_bytes, pause).await?;
+            Ok((connection, Response::from_parts(parts, body)))
         };
-        match tokio::time::timeout(timeout, exchange).await {
+        match tokio::time::timeout(total, exchange).await {
             Ok(Ok((connection, response))) => {
                 self.idle = Some(connection);
                 Ok(response)
             }
             Ok(Err(cause)) => Err(cause),
-            Err(_) => Err(FetchError::Timeout { peer, waited_ms: timeout.as_millis() }),
+            Err(_) => Err(timed_out(total)),
         }
     }
 }
 
-/// Reads a body of up to `max_bytes`. It is copied into one buffer, as chunks of a few bytes
-/// would each take many times their length.
-async fn read_body(mut body: Incoming, max_bytes: usize) -> Result<Bytes, String> {
+/// Reads a body of up to `max_bytes`, whose parts come within `pause` of each other. It is
+/// copied into one buffer, as chunks of a few bytes would each take many times their length.
+async fn read_body(
+    peer: SocketAddr,
+    mut body: Incoming,
+    max_bytes: usize,
+    pause: Duration,
+) -> Result<Bytes, FetchError> {
+    let failed = |cause: String| FetchError::Body { peer, cause };
     let mut received = Vec::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|cause| cause.to_string())?;
+    loop {
+        let next = tokio::time::timeout(pause, body.frame()).await;
+        let next = next.map_err(|_| FetchError::Stalled { peer, waited_ms: pause.as_millis() })?;
+        let Some(frame) = next else { return Ok(received.into()) };
+        let frame = frame.map_err(|cause| failed(cause.to_string()))?;
         let Some(bytes) = frame.data_ref() else { continue };
         if received.len() + bytes.len() > max_bytes {
-            return Err(format!("body has over {max_bytes} bytes"));
+            return Err(failed(format!("body has over {max_bytes} bytes")));
         }
         received.extend_from_slice(bytes);
     }
-    Ok(received.into())
 }
