fix: routers that have a new configuration serve the others in turn (DRAIN)

Second cause of the incident: all peers fetched a new configuration from the few readers at the same moment. Their transfers shared the readers' processors, so that none ended in time, all began anew (341 of 411 failed fetches were from the three readers), and what else the readers had to do was late; one failed its readiness check. Ruled out: bytes of the store (the readers had the version after 0.3 s).

A router now serves two large transfers at a time and refers other peers to those that it has served, so the number of routers that serve doubles; small configurations are served to all. The configuration is encoded once. Decisions are in mesh::spread, without network.

--- a/crates/gateway/src/beats.rs
+++ b/crates/gateway/src/beats.rs
@@ -21,7 +21,7 @@
 use tokio::sync::mpsc;
 
 use crate::answers::merge_leaving;
-use crate::configuration::{ConfigurationQueue, start_configuration_fetches};
+use crate::configuration::{follow_configuration, record_version};
 use crate::context::GatewayContext;
 use crate::crashes::log_events;
 use crate::domains::{
@@ -55,13 +55,6 @@
     after: u64,
 }
 
-/// Fetches from peers that wait for their turn.
-#[derive(Clone, Debug)]
-struct FetchQueues {
-    changes: mpsc::Sender<PeerFetch>,
-    configuration: ConfigurationQueue,
-}
-
 /// Starts the tasks that send and receive heartbeats until the process stops.
 ///
 /// # Errors
@@ -73,12 +66,11 @@
         socket.map_err(|cause| anyhow::anyhow!("step=bind_beats peer={address}: {cause}"))?;
     let socket = Arc::new(socket);
     context.permits.set_socket(Arc::clone(&socket));
-    let (changes, receiver) = mpsc::channel(1);
-    let configuration = start_configuration_fetches(context);
-    let queues = FetchQueues { changes, configuration: configuration.clone() };
+    let (fetch_sender, fetch_receiver) = mpsc::channel(1);
     ntex::rt::spawn(send_heartbeats(Arc::clone(context), Arc::clone(&socket)));
-    ntex::rt::spawn(receive_heartbeats(Arc::clone(context), socket, queues));
-    ntex::rt::spawn(fetch_from_peers(Arc::clone(context), receiver, configuration));
+    ntex::rt::spawn(receive_heartbeats(Arc::clone(context), socket, fetch_sender));
+    ntex::rt::spawn(fetch_from_peers(Arc::clone(context), fetch_receiver));
+    ntex::rt::spawn(follow_configuration(Arc::clone(context)));
     Ok(())
 }
 
@@ -208,7 +200,7 @@
 async fn receive_heartbeats(
     context: Arc<GatewayContext>,
     socket: Arc<UdpSocket>,
-    queues: FetchQueues,
+    fetch_sender: mpsc::Sender<PeerFetch>,
 ) {
     let mut buffer = vec![0; 64 << 10];
     while !context.shutdown.is_cancelled() {
@@ -224,13 +216,13 @@
         };
         let datagram = &buffer[..length];
         if is_peer_message(datagram) {
-            handle_message(&context, &socket, datagram, sender, &queues).await;
+            handle_message(&context, &socket, datagram, sender, &fetch_sender).await;
             continue;
         }
         match decode_heartbeat(datagram) {
             Ok(datagram) => {
                 let peer = datagram.heartbeat.header.addresses.beats;
-                if handle_heartbeat(&context, datagram, &queues) == HeartbeatOutcome::Joined {
+                if handle_heartbeat(&context, datagram, &fetch_sender) == HeartbeatOutcome::Joined {
                     // Replies at once, so that a router that has just started
                     // need not wait for the next heartbeat to learn of its peers.
                     let reply = encode_greeting(&context);
@@ -259,17 +251,17 @@
     socket: &UdpSocket,
     datagram: &[u8],
     peer: SocketAddr,
-    queues: &FetchQueues,
+    fetch_sender: &mpsc::Sender<PeerFetch>,
 ) {
     match decode_peer_message(datagram) {
         Ok(PeerMessage::PermitRequest(request)) => {
             answer_permit_request(context, socket, request, peer).await;
         }
         Ok(PeerMessage::PermitResponse(response)) => handle_permit_response(context, response),
-        Ok(PeerMessage::SourceRead(notice)) => handle_source_notice(context, &notice, queues),
+        Ok(PeerMessage::SourceRead(notice)) => handle_source_notice(context, &notice, fetch_sender),
         Ok(PeerMessage::ReportRequest(ReportRequest { header, unknown })) => {
             let peer = header.addresses.beats;
-            record_header(context, header, None, queues);
+            record_header(context, header, None, fetch_sender);
             send_report(context, socket, peer, &unknown).await;
         }
         Ok(PeerMessage::DomainMembers(report)) => {
@@ -288,7 +280,11 @@
     }
 }
 
-fn handle_source_notice(context: &GatewayContext, notice: &SourceNotice, queues: &FetchQueues) {
+fn handle_source_notice(
+    context: &GatewayContext,
+    notice: &SourceNotice,
+    fetch_sender: &mpsc::Sender<PeerFetch>,
+) {
     let now = context.now();
     let addresses = {
         let mut members = context.members();
@@ -301,7 +297,7 @@
     if context.source().record_peer_revision(notice.source.revision, now) {
         let after = context.source().revision;
         // If the channel is full, a fetch is already pending.
-        let _ = queues.changes.try_send(PeerFetch { peer: addresses.peers, after });
+        let _ = fetch_sender.try_send(PeerFetch { peer: addresses.peers, after });
     }
 }
 
@@ -333,7 +329,7 @@
 fn handle_heartbeat(
     context: &GatewayContext,
     datagram: PeerDatagram,
-    queues: &FetchQueues,
+    fetch_sender: &mpsc::Sender<PeerFetch>,
 ) -> HeartbeatOutcome {
     let now = context.now();
     let PeerDatagram { heartbeat, notice, condition, configuration, quarantine, limits, leaving } =
@@ -343,7 +339,7 @@
     let is_reported = is_reported(context, &header.domain, now);
     let peer = Name::clone(&header.origin.instance);
     let is_draining = header.is_draining;
-    let outcome = record_header(context, header, configuration.version, queues);
+    let outcome = record_header(context, header, configuration.version, fetch_sender);
     if outcome == HeartbeatOutcome::Ignored {
         return outcome;
     }
@@ -374,7 +370,7 @@
     context: &GatewayContext,
     header: HeartbeatHeader,
     version: Option<u64>,
-    queues: &FetchQueues,
+    fetch_sender: &mpsc::Sender<PeerFetch>,
 ) -> HeartbeatOutcome {
     let now = context.now();
     let peer = Name::clone(&header.origin.instance);
@@ -405,11 +401,11 @@
     let needs_all = knows_source
         && matches!(outcome, HeartbeatOutcome::Joined)
         && context.start_fetches() < START_FETCHES;
-    queues.configuration.record_version(context, addresses.peers, version);
+    record_version(context, addresses.peers, version);
     if needs_all || is_behind {
         let after = if needs_all { 0 } else { context.source().revision };
         // If the channel is full, a fetch is already pending.
-        let is_queued = queues.changes.try_send(PeerFetch { peer: addresses.peers, after }).is_ok();
+        let is_queued = fetch_sender.try_send(PeerFetch { peer: addresses.peers, after }).is_ok();
         if needs_all && is_queued {
             context.count_start_fetch();
         }
@@ -420,22 +416,17 @@
 /// Fetches changes from peers with a newer revision, one at a time.
 async fn fetch_from_peers(
     context: Arc<GatewayContext>,
-    mut receiver: mpsc::Receiver<PeerFetch>,
-    configuration: ConfigurationQueue,
+    mut fetch_receiver: mpsc::Receiver<PeerFetch>,
 ) {
-    while let Some(fetch) = receiver.recv().await {
-        if let Err(cause) = fetch_changes(&context, fetch, &configuration).await {
+    while let Some(fetch) = fetch_receiver.recv().await {
+        if let Err(cause) = fetch_changes(&context, fetch).await {
             let peer = fetch.peer;
             tracing::info!(unit = "beats", event = "changes_not_fetched", %peer, cause = format!("{cause:#}"));
         }
     }
 }
 
-async fn fetch_changes(
-    context: &GatewayContext,
-    fetch: PeerFetch,
-    queue: &ConfigurationQueue,
-) -> anyhow::Result<()> {
+async fn fetch_changes(context: &GatewayContext, fetch: PeerFetch) -> anyhow::Result<()> {
     let PeerFetch { peer, after } = fetch;
     let request = rmp_serde::to_vec(&ChangesRequest::of_targets(after))?;
     let mut client = FetchClient::new(peer, MAX_CHANGES_BYTES);
@@ -445,7 +436,7 @@
     anyhow::ensure!(status.is_success(), "step=fetch_changes peer={peer}: status {status}");
     let PeerChanges { response, notice, configuration } = decode_changes(response.body())?;
     // Recorded before the revision, from which this router may read the source next.
-    queue.record_version(context, peer, configuration.version);
+    record_version(context, peer, configuration.version);
     let now = context.now();
     if let Some(age) = response.source_recovery_age {
         context.targets().record_peer_recovery(age, now);
--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -1,17 +1,25 @@
 //! Passes the configuration on from router to router, apart from the changes of targets: it may
 //! be large, and those are urgent.
 
+use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::Method;
+use base::Millis;
+use http::{Method, StatusCode};
 use hyper::body::Bytes;
+use mesh::{HolderVerdict, TransferKey, TransferVerdict};
+use ntex::io::IoRef;
 use outbound::{FetchClient, FetchTimeouts};
-use tokio::sync::mpsc;
+use rmp_serde::encode::Error as EncodeError;
+use route::RouteTable;
 
 use crate::context::GatewayContext;
-use crate::messages::{CHANGES_PATH, ChangesRequest, MAX_CHANGES_BYTES, decode_changes};
+use crate::messages::{
+    CHANGES_PATH, ChangesRequest, ChangesResponse, ConfigurationReferral, MAX_CHANGES_BYTES,
+    ReceiverNotice, append_part, decode_changes,
+};
 use crate::platform::SourceUpdate;
 use crate::view::{UpdateOrigin, apply_update};
 
@@ -23,56 +31,148 @@
     total: Duration::from_secs(10),
 };
 
-/// Peers that have a newer configuration than this router, to be asked for it.
+/// A configuration as peers get it.
 #[derive(Clone, Debug)]
-pub(crate) struct ConfigurationQueue(mpsc::Sender<SocketAddr>);
+pub(crate) struct EncodedConfiguration {
+    version: u64,
+    bytes: ntex::util::Bytes,
+}
+
+/// What a peer that asks for the configuration gets.
+pub(crate) enum ConfigurationAnswer {
+    /// The configuration, or a response without it if the peer has the same version.
+    Response(ntex::util::Bytes),
+    Referral(Vec<u8>),
+}
+
+/// Records that the peer with the HTTP address `peer` has a version of the configuration, which
+/// is fetched if it is newer than that of this router.
+pub(crate) fn record_version(context: &GatewayContext, peer: SocketAddr, version: Option<u64>) {
+    context.source().record_announced_version(version);
+    let own_version = context.versions().version();
+    let Some(version) = version.filter(|version| Some(*version) > own_version) else { return };
+    context.holders().record(peer, version);
+    context.holder_found.notify_one();
+}
 
-impl ConfigurationQueue {
-    /// Records that the peer with the HTTP address `peer` has version `version`, and fetches it
-    /// if it is newer than that of this router.
-    pub(crate) fn record_version(
-        &self,
-        context: &GatewayContext,
-        peer: SocketAddr,
-        version: Option<u64>,
-    ) {
-        context.source().record_announced_version(version);
-        if version > context.versions().version() {
-            // If the channel is full, a fetch is already pending.
-            let _ = self.0.try_send(peer);
+/// Fetches newer configurations from peers, one at a time, until the process stops.
+pub(crate) async fn follow_configuration(context: Arc<GatewayContext>) {
+    while !context.shutdown.is_cancelled() {
+        let version = context.versions().version();
+        let verdict = context.holders().decide(version, context.now());
+        match verdict {
+            HolderVerdict::Ask(peer) => ask(&context, peer, version).await,
+            HolderVerdict::Wait(wait_ms) => wait(&context, wait_ms).await,
+            HolderVerdict::Idle => context.holder_found.notified().await,
         }
     }
 }
 
-/// Starts the task that fetches newer configurations, one at a time.
-pub(crate) fn start_configuration_fetches(context: &Arc<GatewayContext>) -> ConfigurationQueue {
-    let (sender, receiver) = mpsc::channel(1);
-    ntex::rt::spawn(fetch_configurations(Arc::clone(context), receiver));
-    ConfigurationQueue(sender)
+async fn wait(context: &GatewayContext, wait_ms: Millis) {
+    let pause = Duration::from_millis(wait_ms.max(1));
+    // Another holder may be free before.
+    let _ = tokio::time::timeout(pause, context.holder_found.notified()).await;
 }
 
-async fn fetch_configurations(
-    context: Arc<GatewayContext>,
-    mut receiver: mpsc::Receiver<SocketAddr>,
-) {
-    while let Some(peer) = receiver.recv().await {
-        if let Err(cause) = fetch_configuration(&context, peer).await {
+async fn ask(context: &GatewayContext, peer: SocketAddr, version: Option<u64>) {
+    match fetch(context, peer, version).await {
+        Ok(FetchedConfiguration::Response(response)) => {
+            if response.table.is_none() {
+                context.holders().remove(peer);
+                return;
+            }
+            let update = SourceUpdate { table: response.table, ..SourceUpdate::default() };
+            apply_update(context, update, UpdateOrigin::Peer);
+        }
+        Ok(FetchedConfiguration::Referral(ConfigurationReferral { version, holders })) => {
+            let count = holders.len();
+            tracing::debug!(unit = "configuration", event = "referred", %peer, version, count);
+            context.holders().record_referral(peer, &holders, version, context.now());
+        }
+        Err(cause) => {
             let cause = format!("{cause:#}");
             tracing::info!(unit = "configuration", event = "not_fetched", %peer, cause);
+            context.holders().record_failure(peer, context.now());
         }
     }
 }
 
-async fn fetch_configuration(context: &GatewayContext, peer: SocketAddr) -> anyhow::Result<()> {
-    let version = context.versions().version();
-    let request = rmp_serde::to_vec(&ChangesRequest::of_configuration(version))?;
+enum FetchedConfiguration {
+    Response(Box<ChangesResponse>),
+    Referral(ConfigurationReferral),
+}
+
+async fn fetch(
+    context: &GatewayContext,
+    peer: SocketAddr,
+    version: Option<u64>,
+) -> anyhow::Result<FetchedConfiguration> {
+    let mut request = rmp_serde::to_vec(&ChangesRequest::of_configuration(version))?;
+    append_part(&mut request, &ReceiverNotice { address: context.settings.listen.peers });
     let mut client = FetchClient::new(peer, MAX_CHANGES_BYTES);
     let body = Bytes::from(request);
     let response = client.fetch(Method::POST, CHANGES_PATH, body, FETCH_TIMEOUTS).await?;
     let status = response.status();
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        return Ok(FetchedConfiguration::Referral(rmp_serde::from_slice(response.body())?));
+    }
     anyhow::ensure!(status.is_success(), "step=fetch_configuration peer={peer}: status {status}");
-    let table = decode_changes(response.body())?.response.table;
-    let update = SourceUpdate { table, ..SourceUpdate::default() };
-    apply_update(context, update, UpdateOrigin::Peer);
-    Ok(())
+    let response = decode_changes(response.body())?.response;
+    Ok(FetchedConfiguration::Response(Box::new(response)))
+}
+
+/// Answers a peer that asks for the configuration. The transfer counts until the peer closes the
+/// connection `io`.
+///
+/// # Errors
+/// Returns an error if the answer can't be encoded.
+pub(crate) fn answer_request(
+    context: &Arc<GatewayContext>,
+    request: ChangesRequest,
+    receiver: Option<ReceiverNotice>,
+    io: Option<&IoRef>,
+) -> Result<ConfigurationAnswer, EncodeError> {
+    let table = context.table().filter(|table| Some(table.version) > request.version);
+    let Some(table) = table else {
+        let bytes = rmp_serde::to_vec(&ChangesResponse::of_configuration(None))?;
+        return Ok(ConfigurationAnswer::Response(bytes.into()));
+    };
+    let EncodedConfiguration { version, bytes } = encode(context, &table)?;
+    // Routers of earlier versions do not know referrals.
+    let (Some(ReceiverNotice { address }), Some(io)) = (receiver, io) else {
+        return Ok(ConfigurationAnswer::Response(bytes));
+    };
+    let verdict = context.transfers().begin(version, bytes.len(), address, context.now());
+    match verdict {
+        TransferVerdict::Serve(key) => {
+            ntex::rt::spawn(end_transfer(Arc::clone(context), io.clone(), key, version));
+            Ok(ConfigurationAnswer::Response(bytes))
+        }
+        TransferVerdict::Refer(holders) => {
+            let bytes = rmp_serde::to_vec(&ConfigurationReferral { version, holders })?;
+            Ok(ConfigurationAnswer::Referral(bytes))
+        }
+    }
+}
+
+/// Encodes a configuration once for all peers.
+fn encode(
+    context: &GatewayContext,
+    table: &Arc<RouteTable>,
+) -> Result<EncodedConfiguration, EncodeError> {
+    let known = context.encoded_configuration().clone();
+    if let Some(encoded) = known.filter(|encoded| encoded.version == table.version) {
+        return Ok(encoded);
+    }
+    let response = ChangesResponse::of_configuration(Some((**table).clone()));
+    let bytes = rmp_serde::to_vec(&response)?.into();
+    let encoded = EncodedConfiguration { version: table.version, bytes };
+    *context.encoded_configuration() = Some(encoded.clone());
+    Ok(encoded)
+}
+
+async fn end_transfer(context: Arc<GatewayContext>, io: IoRef, key: TransferKey, version: u64) {
+    let disconnect = io.on_disconnect();
+    poll_fn(|cx| disconnect.poll_ready(cx)).await;
+    context.transfers().end(key, version);
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -11,7 +11,9 @@
 };
 use base::{Millis, MonoClock, Name, Origin, stable_hash};
 use cadence::StatsdClient;
-use mesh::{MemberSettings, MemberTable};
+use mesh::{
+    HolderList, HolderSettings, MemberSettings, MemberTable, TransferPolicy, TransferSettings,
+};
 use quarantine::{PartQuarantine, QuarantineSettings};
 use rate::{FleetView, RateLimiter, RateSettings};
 use route::{RouteTable, VersionGate};
@@ -21,6 +23,7 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
+use crate::configuration::EncodedConfiguration;
 use crate::permits::PermitExchange;
 use crate::platform::CallFormat;
 use crate::sampling::LogSampler;
@@ -107,6 +110,12 @@
     limits: Mutex<RateLimiter>,
     pub(crate) permits: PermitExchange,
     source: Mutex<SourceProgress>,
+    holders: Mutex<HolderList>,
+    /// Triggers a fetch when a peer has a newer configuration.
+    pub(crate) holder_found: Notify,
+    transfers: Mutex<TransferPolicy>,
+    /// The configuration that peers asked for last.
+    encoded_configuration: Mutex<Option<EncodedConfiguration>>,
     /// Lateness of the thread that reads the source and exchanges heartbeats.
     control_lateness: Mutex<ThreadLateness>,
     refusal_log_sampler: Mutex<LogSampler>,
@@ -182,6 +191,7 @@
         let targets = TargetRegistry::with_backoffs(RegistrySettings::default(), backoffs);
         let fleet = FleetView::new(&settings.instance, true, Vec::new(), members.known_count());
         let limiter = RateLimiter::new(fleet, RateSettings::default());
+        let holders = HolderList::new(settings.listen.peers, HolderSettings::default());
         Arc::new(Self {
             settings,
             origin,
@@ -202,6 +212,10 @@
             limits: Mutex::new(limiter),
             permits: PermitExchange::default(),
             source: Mutex::default(),
+            holders: Mutex::new(holders),
+            holder_found: Notify::new(),
+            transfers: Mutex::new(TransferPolicy::new(TransferSettings::default())),
+            encoded_configuration: Mutex::default(),
             control_lateness: Mutex::default(),
             refusal_log_sampler: Mutex::default(),
             heartbeat_now: Notify::new(),
@@ -281,6 +295,18 @@
         lock(&self.source)
     }
 
+    pub(crate) fn holders(&self) -> MutexGuard<'_, HolderList> {
+        lock(&self.holders)
+    }
+
+    pub(crate) fn transfers(&self) -> MutexGuard<'_, TransferPolicy> {
+        lock(&self.transfers)
+    }
+
+    pub(crate) fn encoded_configuration(&self) -> MutexGuard<'_, Option<EncodedConfiguration>> {
+        lock(&self.encoded_configuration)
+    }
+
     pub(crate) fn control_lateness(&self) -> MutexGuard<'_, ThreadLateness> {
         lock(&self.control_lateness)
     }
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -1,5 +1,7 @@
 //! Messages between routers, except for those of the membership protocol.
 
+use std::net::SocketAddr;
+
 use admit::AccountDemand;
 use base::{Millis, Name};
 use mesh::{DomainMembers, Heartbeat, ReportRequest, SourceNotice};
@@ -179,6 +181,35 @@
     pub(crate) fn of_configuration(version: Option<u64>) -> Self {
         Self { after: u64::MAX, version }
     }
+
+    pub(crate) fn is_for_configuration(&self) -> bool {
+        self.after == u64::MAX
+    }
+}
+
+/// Where the sender of a request for the configuration will serve it. It follows the request in
+/// the same body.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct ReceiverNotice {
+    pub(crate) address: SocketAddr,
+}
+
+/// The peers to ask for the configuration instead of the sender, which serves enough of them.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct ConfigurationReferral {
+    pub(crate) version: u64,
+    pub(crate) holders: Vec<SocketAddr>,
+}
+
+/// Decodes a request for changes, and what follows it.
+///
+/// # Errors
+/// Returns an error if the body does not start with a request.
+pub(crate) fn decode_changes_request(
+    mut body: &[u8],
+) -> Result<(ChangesRequest, Option<ReceiverNotice>), rmp_serde::decode::Error> {
+    let request = rmp_serde::from_read(&mut body)?;
+    Ok((request, decode_part(&mut body)))
 }
 
 /// The changes that a router knows after a revision.
@@ -194,6 +225,13 @@
     pub(crate) source_recovery_age: Option<Millis>,
 }
 
+impl ChangesResponse {
+    /// Creates a response with the configuration alone.
+    pub(crate) fn of_configuration(table: Option<RouteTable>) -> Self {
+        Self { revision: 0, table, records: Vec::new(), source_recovery_age: None }
+    }
+}
+
 /// What a router knows beside the changes. It follows them in the same response, where
 /// routers of earlier versions do not read it.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -10,8 +10,9 @@
 use ntex::util::{Bytes, BytesMut};
 
 use crate::body::BodyReader;
+use crate::configuration::{ConfigurationAnswer, answer_request};
 use crate::context::GatewayContext;
-use crate::messages::{CHANGES_PATH, ChangesRequest, append_part};
+use crate::messages::{CHANGES_PATH, append_part, decode_changes_request};
 use crate::relay::RelayBody;
 use crate::view::{changes_notice, changes_since, configuration_notice};
 
@@ -20,6 +21,8 @@
 pub(crate) const ADDRESS_LEASE_S: f64 = 1.0;
 /// Largest number of addresses in one response; callers accept no more.
 const MAX_ADDRESSES: usize = 64;
+/// Content type of messages between routers.
+const PEER_MESSAGE_TYPE: &str = "application/msgpack";
 /// Largest request body of a peer, in bytes.
 const MAX_PEER_REQUEST_BYTES: usize = 4 << 10;
 /// Time that a peer may take to send a complete body. It waits less long for its answer.
@@ -79,23 +82,40 @@
     let Ok(Some(body)) = tokio::time::timeout(PEER_BODY_TIMEOUT, reading).await else {
         return empty_response(StatusCode::BAD_REQUEST);
     };
-    let Ok(changes_request) = rmp_serde::from_slice::<ChangesRequest>(&body) else {
+    let Ok((changes_request, receiver)) = decode_changes_request(&body) else {
         return empty_response(StatusCode::BAD_REQUEST);
     };
+    if changes_request.is_for_configuration() {
+        let answer = answer_request(&context, changes_request, receiver, request.io());
+        return answer.map_or_else(|cause| not_encoded(&cause), configuration_response);
+    }
     match rmp_serde::to_vec(&changes_since(&context, changes_request)) {
         Ok(mut response) => {
             append_part(&mut response, &changes_notice(&context));
             // Read after the revision of the response, so that it is not older.
             append_part(&mut response, &configuration_notice(&context));
-            full_response("application/msgpack", response)
+            full_response(PEER_MESSAGE_TYPE, response)
         }
-        Err(cause) => {
-            tracing::error!(unit = "serve", event = "changes_not_encoded", %cause);
-            empty_response(StatusCode::INTERNAL_SERVER_ERROR)
+        Err(cause) => not_encoded(&cause),
+    }
+}
+
+fn configuration_response(answer: ConfigurationAnswer) -> Response<RelayBody> {
+    match answer {
+        ConfigurationAnswer::Response(bytes) => full_response(PEER_MESSAGE_TYPE, bytes),
+        ConfigurationAnswer::Referral(bytes) => {
+            let mut response = full_response(PEER_MESSAGE_TYPE, bytes);
+            response.head_mut().status = StatusCode::SERVICE_UNAVAILABLE;
+            response
         }
     }
 }
 
+fn not_encoded(cause: &rmp_serde::encode::Error) -> Response<RelayBody> {
+    tracing::error!(unit = "serve", event = "changes_not_encoded", %cause);
+    empty_response(StatusCode::INTERNAL_SERVER_ERROR)
+}
+
 /// Returns counters and histograms as text.
 pub(crate) fn metrics(text: String) -> Response<RelayBody> {
     full_response("text/plain; version=0.0.4", text.into_bytes())
@@ -116,8 +136,8 @@
     Response::with_body(status, RelayBody::Whole(Bytes::new()))
 }
 
-fn full_response(content_type: &'static str, body: Vec<u8>) -> Response<RelayBody> {
-    let mut response = Response::with_body(StatusCode::OK, RelayBody::Whole(Bytes::from(body)));
+fn full_response(content_type: &'static str, body: impl Into<Bytes>) -> Response<RelayBody> {
+    let mut response = Response::with_body(StatusCode::OK, RelayBody::Whole(body.into()));
     let value = ntex::http::header::HeaderValue::from_static(content_type);
     response.head_mut().headers.insert(http::header::CONTENT_TYPE, value);
     response
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -8,8 +8,13 @@
 mod members;
 mod reader;
 mod report;
+mod spread;
 
 pub use heartbeat::{Heartbeat, HeartbeatHeader, PeerAddresses, SourceNotice, SourceView};
 pub use members::{HeartbeatOutcome, MemberSettings, MemberTable, MemberView};
 pub use reader::{ReaderPolicy, ReaderSettings, ReaderVerdict};
 pub use report::{DomainMembers, PeerSighting, ReportRequest, SightingTag};
+pub use spread::{
+    HolderList, HolderSettings, HolderVerdict, TransferKey, TransferPolicy, TransferSettings,
+    TransferVerdict,
+};
