--- a/crates/gateway/src/beats.rs
+++ b/crates/gateway/src/beats.rs
@@ -36,6 +36,9 @@
 };
 use crate::permits::{answer_permit_request, handle_permit_response, merge_limits, update_fleet};
 use crate::platform::SourceUpdate;
+use crate::streams::{
+    answer_origin_request, handle_origin_response, record_streams, update_holders, watch_streams,
+};
 use crate::view::{UpdateOrigin, apply_update, record_left_targets};
 
 /// Time limit for fetching changes from a peer.
@@ -71,6 +74,7 @@
     ntex::rt::spawn(receive_heartbeats(Arc::clone(context), socket, fetch_sender));
     ntex::rt::spawn(fetch_from_peers(Arc::clone(context), fetch_receiver));
     ntex::rt::spawn(follow_configuration(Arc::clone(context)));
+    ntex::rt::spawn(watch_streams(Arc::clone(context)));
     Ok(())
 }
 
@@ -102,6 +106,7 @@
             tracing::info!(unit = "beats", event = "peer_lost", %peer);
         }
         update_fleet(&context);
+        update_holders(&context);
         let routers = context.members().live(now).count() + 1;
         context.set_router_count(routers);
         context.retries().set_router_count(routers, now);
@@ -274,6 +279,11 @@
         }
         Ok(PeerMessage::DomainDemand(demand)) => record_demand(context, demand),
         Ok(PeerMessage::DomainLoad(load)) => record_load(context, &load),
+        Ok(PeerMessage::StreamsBegan(records)) => record_streams(context, &records),
+        Ok(PeerMessage::OriginRequest(request)) => answer_origin_request(context, &request, peer),
+        Ok(PeerMessage::OriginResponse(response)) => {
+            handle_origin_response(context, response, peer)
+        }
         Err(cause) => {
             tracing::debug!(unit = "beats", event = "not_understood", %peer, %cause);
         }
@@ -294,6 +304,7 @@
         members.addresses_of(&notice.origin.instance)
     };
     let Some(addresses) = addresses else { return };
+    record_peer_read(context, notice.source, now);
     if context.source().record_peer_revision(notice.source.revision, now) {
         let after = context.source().revision;
         // If the channel is full, a fetch is already pending.
@@ -320,6 +331,13 @@
     }
 }
 
+/// Records when the source responded to a peer.
+fn record_peer_read(context: &GatewayContext, view: SourceView, now: Millis) {
+    if let Some(read_age) = view.read_age {
+        context.source().record_peer_read(view.revision, read_age, now);
+    }
+}
+
 fn source_view(context: &GatewayContext, now: Millis) -> SourceView {
     let source = context.source();
     let read_age = source.read_at.map(|at| now.saturating_sub(at));
@@ -375,7 +393,8 @@
     let now = context.now();
     let peer = Name::clone(&header.origin.instance);
     let addresses = header.addresses;
-    let revision = header.source.revision;
+    let source = header.source;
+    let revision = source.revision;
     let is_draining = header.is_draining;
     let outcome = context.members().record_heartbeat(header, now);
     match outcome {
@@ -395,6 +414,7 @@
         }
         HeartbeatOutcome::Newer { .. } => {}
     }
+    record_peer_read(context, source, now);
     let is_behind = context.source().record_peer_revision(revision, now);
     let knows_source = revision > 0 || version.is_some();
     // What a restored source has lost is known to peers alone, whatever the revisions.
@@ -434,7 +454,8 @@
     let response = client.fetch(Method::POST, CHANGES_PATH, body, PEER_TIMEOUT).await?;
     let status = response.status();
     anyhow::ensure!(status.is_success(), "step=fetch_changes peer={peer}: status {status}");
-    let PeerChanges { response, notice, configuration } = decode_changes(response.body())?;
+    let PeerChanges { response, notice, configuration, versions } =
+        decode_changes(response.body())?;
     // Recorded before the revision, from which this router may read the source next.
     record_version(context, peer, configuration.version);
     let now = context.now();
@@ -448,6 +469,7 @@
         unreadable: Vec::new(),
     };
     apply_update(context, update, UpdateOrigin::Peer);
+    context.resumes().merge_versions(versions, now);
     record_left_targets(context, notice.left);
     Ok(())
 }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -19,6 +19,7 @@
 use crate::held::HeldBytes;
 use crate::platform::CallMetadata;
 use crate::refusal::{Refusal, RefusalCause};
+use crate::streams::TakenUpStream;
 
 /// Time that a caller may take to send a complete body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -69,6 +70,8 @@
     pub(crate) cost: f64,
     /// None where shares don't apply: plain services and public routes.
     pub(crate) share: Option<ShareVerdict>,
+    /// The stream that the request takes up.
+    pub(crate) taken_up: Option<TakenUpStream>,
 }
 
 impl AdmittedCall {
@@ -146,7 +149,9 @@
             },
             None => return refuse(RefusalCause::BadCredential),
         };
-        let hash = base::stable_hash(&[self.id()]);
+        // A stream goes on at the service that began it.
+        let id = self.metadata.resumed_id.as_deref().filter(|_| route.kind.is_resumable());
+        let hash = base::stable_hash(&[id.unwrap_or(self.id())]);
         let Some(service) = route.select_service(hash).cloned() else {
             return refuse(RefusalCause::NoTarget);
         };
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -16,6 +16,7 @@
 };
 use quarantine::{PartQuarantine, QuarantineSettings};
 use rate::{FleetView, RateLimiter, RateSettings};
+use resume::{ResumePolicy, ResumeSettings};
 use route::{RouteTable, VersionGate};
 use target::{
     BackoffSettings, FullnessSamples, LoadTracker, RegistrySettings, TargetBackoffs, TargetRegistry,
@@ -28,6 +29,7 @@
 use crate::platform::CallFormat;
 use crate::sampling::LogSampler;
 use crate::settings::GatewaySettings;
+use crate::streams::{OpenStreams, OriginExchange};
 
 /// Progress in reading the configuration source.
 #[derive(Debug, Default)]
@@ -40,6 +42,11 @@
     pub(crate) read_at: Option<Millis>,
     /// When this router first heard of a newer revision from a peer, while it lacks it.
     pub(crate) behind_since: Option<Millis>,
+    /// At this time the view of the targets was complete, as far as a response of the source to
+    /// this router or to a peer shows.
+    confirmed_at: Option<Millis>,
+    /// A peer read the source at this time, up to this revision, which this router lacks.
+    unconfirmed: Option<(u64, Millis)>,
     /// Newest version of the configuration that a peer has announced.
     announced_version: Option<u64>,
     /// `announced_version` when the source was last listed.
@@ -57,6 +64,33 @@
         is_behind
     }
 
+    /// Records that the source responded to this router, and that all changes are applied.
+    pub(crate) fn record_read(&mut self, now: Millis) {
+        self.read_at = Some(now);
+        self.confirmed_at = Some(now);
+    }
+
+    /// Records that a peer has the changes up to `revision`, with which the source responded to
+    /// it `read_age` milliseconds ago.
+    pub(crate) fn record_peer_read(&mut self, revision: u64, read_age: Millis, now: Millis) {
+        let read_at = now.saturating_sub(read_age);
+        if revision <= self.revision {
+            self.confirmed_at = self.confirmed_at.max(Some(read_at));
+        } else if self.unconfirmed.is_none_or(|(known, _)| known < revision) {
+            self.unconfirmed = Some((revision, read_at));
+        }
+    }
+
+    /// Returns when the view of the targets was complete.
+    pub(crate) fn confirmed_at(&self) -> Option<Millis> {
+        self.confirmed_at
+    }
+
+    /// Returns the time in milliseconds since the view of the targets was complete.
+    pub(crate) fn view_age(&self, now: Millis) -> Option<Millis> {
+        self.confirmed_at.map(|at| now.saturating_sub(at))
+    }
+
     /// Records that a peer has a version of the configuration.
     pub(crate) fn record_announced_version(&mut self, version: Option<u64>) {
         self.announced_version = self.announced_version.max(version);
@@ -81,6 +115,9 @@
         if has_advanced {
             self.revision = revision;
             self.behind_since = None;
+            if let Some((_, read_at)) = self.unconfirmed.take_if(|(known, _)| *known <= revision) {
+                self.confirmed_at = self.confirmed_at.max(Some(read_at));
+            }
         }
         has_advanced
     }
@@ -109,6 +146,9 @@
     quarantine: Mutex<PartQuarantine>,
     limits: Mutex<RateLimiter>,
     pub(crate) permits: PermitExchange,
+    resumes: Mutex<ResumePolicy>,
+    open_streams: Mutex<OpenStreams>,
+    pub(crate) origins: OriginExchange,
     source: Mutex<SourceProgress>,
     holders: Mutex<HolderList>,
     /// Triggers a fetch when a peer has a newer configuration.
@@ -211,6 +251,9 @@
             quarantine: Mutex::new(quarantine),
             limits: Mutex::new(limiter),
             permits: PermitExchange::default(),
+            resumes: Mutex::new(ResumePolicy::new(ResumeSettings::default())),
+            open_streams: Mutex::default(),
+            origins: OriginExchange::default(),
             source: Mutex::default(),
             holders: Mutex::new(holders),
             holder_found: Notify::new(),
@@ -291,6 +334,14 @@
         lock(&self.limits)
     }
 
+    pub(crate) fn resumes(&self) -> MutexGuard<'_, ResumePolicy> {
+        lock(&self.resumes)
+    }
+
+    pub(crate) fn open_streams(&self) -> MutexGuard<'_, OpenStreams> {
+        lock(&self.open_streams)
+    }
+
     pub(crate) fn source(&self) -> MutexGuard<'_, SourceProgress> {
         lock(&self.source)
     }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -75,8 +75,9 @@
                 }
                 failures = 0;
                 own_lacks = 0;
-                context.source().read_at = Some(now);
-                if apply_update(&context, update, origin) {
+                let has_advanced = apply_update(&context, update, origin);
+                context.source().record_read(now);
+                if has_advanced {
                     context.heartbeat_now.notify_one();
                     tokio::time::sleep(BATCH_PAUSE).await;
                 } else {
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -7,6 +7,7 @@
 use mesh::{DomainMembers, Heartbeat, ReportRequest, SourceNotice};
 use quarantine::QuarantineNotice;
 use rate::{LimitNotice, PermitRequest, PermitResponse};
+use resume::{HolderAnswer, StreamKey, StreamRecord, VersionNotice};
 use route::RouteTable;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -88,6 +89,25 @@
     DomainMembers(DomainMembers),
     DomainDemand(DomainDemand),
     DomainLoad(DomainLoad),
+    /// Streams that began, of which the receiver is a holder.
+    StreamsBegan(Vec<StreamRecord>),
+    OriginRequest(OriginRequest),
+    OriginResponse(OriginResponse),
+}
+
+/// Asks a holder which software version began a stream.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct OriginRequest {
+    /// Repeated in the response.
+    pub(crate) number: u64,
+    pub(crate) key: StreamKey,
+    pub(crate) service: Name,
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct OriginResponse {
+    pub(crate) number: u64,
+    pub(crate) answer: HolderAnswer,
 }
 
 /// Demand of the client accounts at all routers of a failure domain.
@@ -240,6 +260,28 @@
     pub(crate) left: Vec<LeftTarget>,
 }
 
+/// Software versions of the targets in the changes. It follows the configuration notice in the
+/// same response, where routers of earlier versions do not read it.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub(crate) struct SoftwareNotice {
+    /// In the order of the records that have an entry.
+    versions: Vec<Name>,
+}
+
+impl SoftwareNotice {
+    pub(crate) fn of(records: &[TargetRecord]) -> Self {
+        let entries = records.iter().filter_map(|record| record.entry.as_ref());
+        Self { versions: entries.map(|entry| Name::clone(&entry.software_version)).collect() }
+    }
+
+    fn apply(self, records: &mut [TargetRecord]) {
+        let entries = records.iter_mut().filter_map(|record| record.entry.as_mut());
+        for (entry, version) in entries.zip(self.versions) {
+            entry.software_version = version;
+        }
+    }
+}
+
 /// A decoded response to a request for changes.
 #[derive(Debug)]
 pub(crate) struct PeerChanges {
@@ -247,6 +289,8 @@
     pub(crate) notice: ChangesNotice,
     /// Of the configuration that the peer had at the revision of the response.
     pub(crate) configuration: ConfigurationNotice,
+    /// What the peer has seen of software versions.
+    pub(crate) versions: VersionNotice,
 }
 
 /// Decodes the response of a peer to a request for changes, and what follows it.
@@ -254,8 +298,11 @@
 /// # Errors
 /// Returns an error if the body does not start with a response.
 pub(crate) fn decode_changes(mut body: &[u8]) -> Result<PeerChanges, rmp_serde::decode::Error> {
-    let response = rmp_serde::from_read(&mut body)?;
+    let mut response: ChangesResponse = rmp_serde::from_read(&mut body)?;
     let notice = decode_part(&mut body).unwrap_or_default();
     let configuration = decode_part(&mut body).unwrap_or_default();
-    Ok(PeerChanges { response, notice, configuration })
+    let software: SoftwareNotice = decode_part(&mut body).unwrap_or_default();
+    software.apply(&mut response.records);
+    let versions = decode_part(&mut body).unwrap_or_default();
+    Ok(PeerChanges { response, notice, configuration, versions })
 }
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use base::Name;
 use http::response::Parts;
 use ntex::http::{ConnectionType, Request, Response};
 use tokio::time::Instant;
@@ -21,6 +22,7 @@
 use crate::report::{CallEnd, CallReport};
 use crate::send::{Attempts, TargetExchange, send};
 use crate::share;
+use crate::streams::find_taken_up;
 use crate::worker::Worker;
 
 /// Largest response that is buffered completely before it is forwarded, in
@@ -71,7 +73,7 @@
         discard_body(&mut body).await;
         return refuse(&mut report, Refusal::retry_after(RefusalCause::RouterLate, late_ms));
     }
-    let routed = match received.route(context) {
+    let mut routed = match received.route(context) {
         Ok(routed) => routed,
         Err(refusal) => {
             discard_body(&mut body).await;
@@ -102,9 +104,16 @@
     if let Err(refusal) = check_request(context, &routed, identity, check) {
         return refuse(&mut report, refusal);
     }
-    let admitted = share::admit(context, routed, body, identity);
+    let taken_up = match find_taken_up(context, &routed).await {
+        Ok(taken_up) => taken_up,
+        Err(refusal) => return refuse(&mut report, refusal),
+    };
+    if let Some(stream) = &taken_up {
+        routed.service = Name::clone(&stream.origin.service);
+    }
+    let mut attempts = Attempts::of_stream(taken_up.as_ref());
+    let admitted = AdmittedCall { taken_up, ..share::admit(context, routed, body, identity) };
     report.record_admission(&admitted);
-    let mut attempts = Attempts::default();
     let remaining_ms = admitted.routed.remaining_ms(context.now());
     let deadline = Instant::now() + Duration::from_millis(remaining_ms);
     let forwarding = forward(&worker, &admitted, &mut attempts);
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -25,6 +25,8 @@
     pub profile: RequestProfile,
     /// Id of the last event that the caller received of an earlier stream.
     pub last_event_id: Option<u64>,
+    /// Id of the attempt whose response brought the first event of that stream.
+    pub resumed_id: Option<Name>,
 }
 
 /// Metadata that the gateway sets in the headers of a request to a target.
--- a/crates/gateway/src/reader.rs
+++ b/crates/gateway/src/reader.rs
@@ -1,5 +1,6 @@
 //! Reads the body of a target's response and detects truncation.
 
+use base::Name;
 use http::response::Parts;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Bytes, Incoming};
@@ -57,6 +58,11 @@
         &self.head
     }
 
+    /// Returns the software version of the target.
+    pub(crate) fn software_version(&self) -> &Name {
+        &self.outstanding.entry.software_version
+    }
+
     pub(crate) fn is_event_stream(&self) -> bool {
         self.boundary.is_some()
     }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -42,6 +42,10 @@
     RateLimited,
     /// All targets that could take the request turned others away and want none for a time.
     TurnedAway,
+    /// Nobody knows which software version of the targets began the stream that is taken up.
+    StreamUnknown,
+    /// No target has the software version that began the stream.
+    VersionGone,
     /// No target is published or can be reached.
     NoTarget,
     /// A target did not run the request, and no further retry is allowed.
@@ -107,6 +111,8 @@
             | Cause::RateLimited
             | Cause::TargetsFull
             | Cause::TurnedAway
+            | Cause::StreamUnknown
+            | Cause::VersionGone
             | Cause::NoTarget
             | Cause::NotRun
             | Cause::TimeoutUnsent => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,6 +7,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use base::Name;
 use futures_util::Stream;
 use http::Response;
 use http::response::Parts;
@@ -14,6 +15,7 @@
 use ntex::http::body::{BodySize, MessageBody};
 use ntex::io::IoRef;
 use ntex::util::Bytes;
+use resume::{StreamKey, StreamOrigin, StreamRecord};
 use sse::EventSplitter;
 use thiserror::Error as ThisError;
 use tokio::time::Instant;
@@ -24,6 +26,7 @@
 use crate::reader::ResponseReader;
 use crate::report::{CallEnd, CallReport};
 use crate::send::{Attempts, send};
+use crate::streams::BegunStream;
 use crate::worker::Worker;
 
 /// Time between checks whether the connection of an aborted response is closed.
@@ -125,6 +128,8 @@
     first_chunk: Option<hyper::body::Bytes>,
     /// Set only for streams that may be resumed from another target.
     splitter: Option<EventSplitter>,
+    /// Set once the first event is passed on, if the stream can be named by its caller.
+    begun: Option<BegunStream>,
     connection: Option<BusyConnection>,
     deadline: Instant,
     report: CallReport,
@@ -170,12 +175,31 @@
             reader: Some(reader),
             first_chunk,
             splitter,
+            begun: None,
             connection,
             deadline,
             report,
         }
     }
 
+    /// Records that the target begins or goes on with the stream: others of its software version
+    /// may go on later, here or where the caller takes it up.
+    fn record_begin(&mut self) {
+        let Some(reader) = &self.reader else { return };
+        let version = Name::clone(reader.software_version());
+        self.attempts.software_version = Some(Name::clone(&version));
+        let call = &self.call;
+        let metadata = &call.routed.received.metadata;
+        let account = call.routed.account.as_deref();
+        let key = match &call.taken_up {
+            Some(stream) => stream.key,
+            None => metadata.id.as_deref().map(|id| StreamKey::new(account, id)),
+        };
+        let Some(key) = key else { return };
+        let origin = StreamOrigin { service: Name::clone(&call.routed.service), version };
+        self.begun = Some(BegunStream::begin(&self.worker.context, StreamRecord { key, origin }));
+    }
+
     /// Converts the relay into the body of the response to the caller.
     pub(crate) fn into_body(self) -> RelayBody {
         // The length of a stream of events is not passed on: a caller that has all of its
@@ -217,6 +241,9 @@
                         return Ok(Some(Bytes::copy_from_slice(&bytes)));
                     };
                     let events = splitter.push(&bytes);
+                    if splitter.has_passed_event() && self.begun.is_none() {
+                        self.record_begin();
+                    }
                     if !events.is_empty() {
                         return Ok(Some(Bytes::copy_from_slice(&events)));
                     }
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -76,7 +76,7 @@
     let class = request_class(context, call);
     let mut denied = Vec::new();
     loop {
-        let selection = select_next_target(worker, call, class, &attempts.tried, &denied)?;
+        let selection = select_next_target(worker, call, class, attempts, &denied)?;
         attempts.selection = Some(SelectionEstimate::new(&selection));
         if attempts.tried.is_empty() {
             share::check_capacity(context, call, &selection)?;
@@ -173,19 +173,51 @@
     }
 }
 
+/// Removes the candidates at which a stream must not go on: those of another version than the
+/// one that began it. A stream that nothing has begun yet does not begin at a version that some
+/// routers may not know.
+///
+/// # Errors
+/// Returns a refusal if no candidate has the version that began the stream.
+fn restrict_versions(
+    context: &GatewayContext,
+    service: &str,
+    version: Option<&str>,
+    candidates: &mut Vec<Arc<TargetEntry>>,
+) -> Result<(), Refusal> {
+    if let Some(version) = version {
+        candidates.retain(|entry| &*entry.software_version == version);
+        if candidates.is_empty() {
+            return Err(Refusal::retry_after(RefusalCause::VersionGone, TARGET_RETRY_MS));
+        }
+        return Ok(());
+    }
+    let unsettled = context.resumes().unsettled_versions(service, context.now());
+    let is_settled = |entry: &Arc<TargetEntry>| !unsettled.contains(&entry.software_version);
+    if !unsettled.is_empty() && candidates.iter().any(is_settled) {
+        candidates.retain(is_settled);
+    }
+    Ok(())
+}
+
 fn select_next_target(
     worker: &Worker,
     call: &AdmittedCall,
     class: RequestClass,
-    tried: &[Name],
+    attempts: &Attempts,
     denied: &[DeniedPermit],
 ) -> Result<TargetSelection, Refusal> {
+    let tried = &attempts.tried;
     let context = &worker.context;
     let now = context.now();
     let routed = &call.routed;
     let mut candidates: Vec<Arc<TargetEntry>> =
         context.targets().serving(&routed.service, now).cloned().collect();
     candidates.retain(|entry| !tried.contains(&entry.id));
+    if routed.route.kind.is_resumable() {
+        let version = attempts.software_version.as_deref();
+        restrict_versions(context, &routed.service, version, &mut candidates)?;
+    }
     let rate_wait_ms = remove_rate_limited(context, &mut candidates, class, denied);
     let query = SelectionQuery {
         profile: routed.profile(),
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -23,6 +23,7 @@
 use crate::platform::NamedLimit;
 use crate::refusal::{Refusal, RefusalCause};
 use crate::select::{SelectionEstimate, record_rate_outcome, select_permitted_target};
+use crate::streams::TakenUpStream;
 use crate::worker::{ConnectionReuse, Worker};
 
 /// Number of attempts in which a request can't be sent before it is refused.
@@ -134,6 +135,8 @@
     pub(crate) may_have_run: bool,
     /// Id of the last event that the caller received of a stream that is resumed.
     pub(crate) last_event_id: Option<u64>,
+    /// Software version of the targets that began the stream: the only one at which it goes on.
+    pub(crate) software_version: Option<Name>,
     /// Estimates behind the last selection of a target.
     pub(crate) selection: Option<SelectionEstimate>,
     /// Request rate that the last response of a target named.
@@ -141,6 +144,12 @@
 }
 
 impl Attempts {
+    /// Creates the attempts of a request that takes up `stream`, or that begins a new one.
+    pub(crate) fn of_stream(stream: Option<&TakenUpStream>) -> Self {
+        let software_version = stream.map(|stream| Name::clone(&stream.origin.version));
+        Self { software_version, ..Self::default() }
+    }
+
     /// Returns `refusal`, or [`RefusalCause::AnswerLost`] if the request may have
     /// run, as the status of `refusal` could guarantee that it did not.
     fn adjust_refusal(&self, refusal: Refusal) -> Refusal {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -12,7 +12,7 @@
 use crate::body::BodyReader;
 use crate::configuration::{ConfigurationAnswer, answer_request};
 use crate::context::GatewayContext;
-use crate::messages::{CHANGES_PATH, append_part, decode_changes_request};
+use crate::messages::{CHANGES_PATH, SoftwareNotice, append_part, decode_changes_request};
 use crate::relay::RelayBody;
 use crate::view::{changes_notice, changes_since, configuration_notice};
 
@@ -89,11 +89,14 @@
         let answer = answer_request(&context, changes_request, receiver, request.io());
         return answer.map_or_else(|cause| not_encoded(&cause), configuration_response);
     }
-    match rmp_serde::to_vec(&changes_since(&context, changes_request)) {
+    let changes = changes_since(&context, changes_request);
+    match rmp_serde::to_vec(&changes) {
         Ok(mut response) => {
             append_part(&mut response, &changes_notice(&context));
             // Read after the revision of the response, so that it is not older.
             append_part(&mut response, &configuration_notice(&context));
+            append_part(&mut response, &SoftwareNotice::of(&changes.records));
+            append_part(&mut response, &context.resumes().version_notice(context.now()));
             full_response(PEER_MESSAGE_TYPE, response)
         }
         Err(cause) => not_encoded(&cause),
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -33,7 +33,14 @@
     context.retries().record_request(&call.service, now);
     let account = call.account.clone().filter(|_| call.engine_memory().is_some());
     let Some(account) = account else {
-        return AdmittedCall { routed: call, body, identity, cost: 0.0, share: None };
+        return AdmittedCall {
+            routed: call,
+            body,
+            identity,
+            cost: 0.0,
+            share: None,
+            taken_up: None,
+        };
     };
     let cost = estimate_cost(&call);
     if context.shares().is_level_due(now) {
@@ -46,7 +53,7 @@
         shares.set_rate_limits(limits.into_iter());
     }
     let verdict = context.shares().admit_request(&account, cost, now);
-    AdmittedCall { routed: call, body, identity, cost, share: Some(verdict) }
+    AdmittedCall { routed: call, body, identity, cost, share: Some(verdict), taken_up: None }
 }
 
 /// Returns the mean fullness of the engines that serve the request. Those that name a request
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -9,6 +9,7 @@
 use crate::messages::{ChangesNotice, ChangesRequest, ChangesResponse, ConfigurationNotice};
 use crate::permits::retain_targets;
 use crate::platform::SourceUpdate;
+use crate::streams::update_versions;
 
 /// Where an update comes from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -38,9 +39,11 @@
     if let Some(table) = update.table {
         let version = table.version;
         let capacity = table.capacity_tokens_per_s;
+        let longest_stream_ms = table.longest_stream_ms();
         let verdict = context.versions().offer(table);
         if matches!(verdict, VersionVerdict::Accepted { .. }) {
             context.shares().set_capacity(capacity);
+            context.resumes().set_longest_stream(longest_stream_ms);
             tracing::info!(
                 unit = "view",
                 event = "configuration",
@@ -80,6 +83,7 @@
         let known: Vec<_> = context.targets().known().map(|entry| entry.id.clone()).collect();
         context.loads().retain_targets(|id| known.contains(id));
         retain_targets(context);
+        update_versions(context);
     }
     context.source().advance(update.revision)
 }
--- a/crates/gateway/tests/fair_service/fleet.rs
+++ b/crates/gateway/tests/fair_service/fleet.rs
@@ -537,6 +537,7 @@
         slots: slots as u32,
         state: TargetState::Serving,
         warm_up_ms: 0,
+        software_version: "v1".into(),
     }
 }
 
--- /dev/null
+++ b/crates/resume/src/history.rs
@@ -0,0 +1,183 @@
+//! The software versions of the targets that a router has seen lately, by service.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use base::{Millis, Name};
+use serde::{Deserialize, Serialize};
+
+use crate::settings::ResumeSettings;
+
+#[derive(Clone, Copy, Debug)]
+struct VersionSpan {
+    first_seen: Millis,
+    /// When the view of the targets was last complete without it; 0 if that is not known.
+    unseen_at: Millis,
+    /// When its last target was removed; `None` while it has one.
+    gone_at: Option<Millis>,
+}
+
+/// A version whose last target was removed lately.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct GoneVersion {
+    service: Name,
+    version: Name,
+    /// Milliseconds since then.
+    age: Millis,
+}
+
+/// What a router has seen of versions, for one that has just started.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct VersionNotice {
+    /// Time in milliseconds for which the sender has seen the targets.
+    observed_ms: Millis,
+    gone: Vec<GoneVersion>,
+}
+
+/// Versions that targets have or had lately.
+#[derive(Debug, Default)]
+pub struct VersionHistory {
+    services: BTreeMap<Name, BTreeMap<Name, VersionSpan>>,
+    /// Since when the view of the targets has been current.
+    observed_since: Option<Millis>,
+    /// Time in milliseconds for which a version matters after its last target was removed.
+    window: Millis,
+}
+
+impl VersionHistory {
+    /// Sets the longest time in milliseconds that a stream may last.
+    pub(crate) fn set_longest_stream(&mut self, longest: Millis, settings: &ResumeSettings) {
+        self.window = longest + settings.return_ms;
+    }
+
+    /// Time in milliseconds after its beginning within which a stream may be taken up.
+    pub(crate) fn window(&self) -> Millis {
+        self.window
+    }
+
+    /// Records the service and version of all targets that are published now. What was known
+    /// before was complete at `confirmed_at`.
+    pub(crate) fn update(
+        &mut self,
+        targets: impl Iterator<Item = (Name, Name)>,
+        confirmed_at: Option<Millis>,
+        now: Millis,
+    ) {
+        let unseen_at = confirmed_at.unwrap_or(0);
+        let present: BTreeSet<(Name, Name)> = targets.collect();
+        for (service, version) in &present {
+            let versions = self.services.entry(Name::clone(service)).or_default();
+            let span = VersionSpan { first_seen: now, unseen_at, gone_at: None };
+            let known = versions.entry(Name::clone(version)).or_insert(span);
+            known.gone_at = None;
+        }
+        let window = self.window;
+        for (service, versions) in &mut self.services {
+            for (version, span) in versions.iter_mut() {
+                if !present.contains(&(Name::clone(service), Name::clone(version))) {
+                    span.gone_at.get_or_insert(now);
+                }
+            }
+            versions.retain(|_, span| span.is_recent(window, now));
+        }
+        self.services.retain(|_, versions| !versions.is_empty());
+    }
+
+    /// Records the age of the view of the targets. While it is too old, versions may come and go
+    /// unseen.
+    pub(crate) fn observe(
+        &mut self,
+        view_age: Option<Millis>,
+        settings: &ResumeSettings,
+        now: Millis,
+    ) {
+        if view_age.is_some_and(|age| age <= settings.fresh_ms) {
+            self.observed_since.get_or_insert(now);
+        } else {
+            self.observed_since = None;
+        }
+    }
+
+    /// Returns what this router has seen, for a peer.
+    pub(crate) fn notice(&self, now: Millis) -> VersionNotice {
+        let observed_ms = self.observed_since.map_or(0, |since| now.saturating_sub(since));
+        let spans = self.services.iter().flat_map(|(service, versions)| {
+            versions.iter().map(move |(version, span)| (service, version, span))
+        });
+        let gone = spans.filter_map(|(service, version, span)| {
+            let age = now.saturating_sub(span.gone_at?);
+            Some(GoneVersion { service: Name::clone(service), version: Name::clone(version), age })
+        });
+        VersionNotice { observed_ms, gone: gone.collect() }
+    }
+
+    /// Takes over what a peer has seen before this router started.
+    pub(crate) fn merge(&mut self, notice: VersionNotice, now: Millis) {
+        let since = now.saturating_sub(notice.observed_ms);
+        self.observed_since = self.observed_since.map(|own| own.min(since));
+        for GoneVersion { service, version, age } in notice.gone {
+            let gone_at = now.saturating_sub(age);
+            let span = VersionSpan { first_seen: gone_at, unseen_at: 0, gone_at: Some(gone_at) };
+            let known = self.services.entry(service).or_default().entry(version).or_insert(span);
+            known.gone_at = known.gone_at.map(|own| own.max(gone_at));
+        }
+    }
+
+    /// Whether streams of a service may have begun at more than one version, or this router
+    /// does not know: its view of the targets is `view_age` old, or it has just started.
+    pub(crate) fn is_uncertain(
+        &self,
+        service: &str,
+        view_age: Option<Millis>,
+        settings: &ResumeSettings,
+        now: Millis,
+    ) -> bool {
+        let is_fresh = view_age.is_some_and(|age| age <= settings.fresh_ms);
+        let is_observed =
+            self.observed_since.is_some_and(|since| now.saturating_sub(since) >= self.window);
+        !is_fresh || !is_observed || self.recent(service, now).count() != 1
+    }
+
+    /// Returns the version at which all streams of a service began, as far as this router has
+    /// seen. A version that nobody uses yet does not count.
+    pub fn sole_version(
+        &self,
+        service: &str,
+        settings: &ResumeSettings,
+        now: Millis,
+    ) -> Option<&Name> {
+        let is_used = |span: &VersionSpan| now >= span.unseen_at + settings.settle_ms;
+        let used = self.recent(service, now).filter(|(_, span)| is_used(span));
+        let used: Vec<&Name> = used.map(|(version, _)| version).collect();
+        let all = self.recent(service, now).map(|(version, _)| version);
+        let counted = if used.is_empty() { all.collect() } else { used };
+        if let [version] = counted[..] { Some(version) } else { None }
+    }
+
+    /// Returns the versions that were first seen lately.
+    pub(crate) fn unsettled(
+        &self,
+        service: &str,
+        settings: &ResumeSettings,
+        now: Millis,
+    ) -> Vec<Name> {
+        let is_new = |span: &VersionSpan| now.saturating_sub(span.first_seen) < settings.settle_ms;
+        let new = self.recent(service, now).filter(|(_, span)| is_new(span));
+        new.map(|(version, _)| Name::clone(version)).collect()
+    }
+
+    /// Returns the services that have targets.
+    pub(crate) fn services(&self) -> impl Iterator<Item = &Name> {
+        self.services.keys()
+    }
+
+    fn recent(&self, service: &str, now: Millis) -> impl Iterator<Item = (&Name, &VersionSpan)> {
+        let versions = self.services.get(service).into_iter().flatten();
+        versions.filter(move |(_, span)| span.is_recent(self.window, now))
+    }
+}
+
+impl VersionSpan {
+    fn is_recent(&self, window: Millis, now: Millis) -> bool {
+        self.gone_at.is_none_or(|at| now.saturating_sub(at) < window)
+    }
+}
--- /dev/null
+++ b/crates/resume/src/lib.rs
@@ -0,0 +1,34 @@
+//! Keeps streams that are resumed at the software version of the targets that began them.
+//!
+//! Load pattern: targets of two versions serve side by side during a release, and what two
+//! versions write does not fit together. An instance dies or is cut off with dozens of open
+//! streams, and milliseconds later their callers take them up at any other instance.
+//!
+//! While all targets of a service have had the same version for longer than a stream lasts,
+//! nothing is exchanged: every stream began at that version. Otherwise the instance that passes
+//! the first event of a stream on tells a few holders, found by rendezvous hashing of the
+//! stream's id and spread over the failure domains, which version began it. An instance at which
+//! a stream is taken up asks them. What nobody knows is refused.
+//!
+//! Two rules make "the same version" a fact, although instances learn of targets at different
+//! times:
+//!
+//! - streams begin at a new version only once it has been known for `settle_ms`;
+//! - an instance relies on having seen one version only if its view of the targets is at most
+//!   `fresh_ms` old, which is less.
+//!
+//! Does no I/O.
+
+mod history;
+mod holders;
+mod lookup;
+mod policy;
+mod records;
+mod settings;
+
+pub use history::{VersionHistory, VersionNotice};
+pub use holders::{HolderPeer, choose_holders};
+pub use lookup::{HolderAnswer, LookupVerdict, StreamLookup};
+pub use policy::{ResumeDecision, ResumePolicy};
+pub use records::{StreamKey, StreamOrigin, StreamRecord, StreamRecords};
+pub use settings::ResumeSettings;
--- /dev/null
+++ b/crates/resume/src/policy.rs
@@ -0,0 +1,162 @@
+//! Decides where streams begin, who is told, and where they go on.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use base::{Millis, Name};
+
+use crate::history::{VersionHistory, VersionNotice};
+use crate::holders::{HolderPeer, choose_holders};
+use crate::lookup::HolderAnswer;
+use crate::records::{KnownOrigin, StreamKey, StreamOrigin, StreamRecord, StreamRecords};
+use crate::settings::ResumeSettings;
+
+/// What is known of a stream that is taken up.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ResumeDecision {
+    /// It goes on where it began.
+    Began(StreamOrigin),
+    /// The holders have to be asked.
+    Ask(Vec<SocketAddr>),
+    /// Its id was used for several streams.
+    Ambiguous,
+}
+
+/// What one router knows of versions and streams.
+#[derive(Debug, Default)]
+pub struct ResumePolicy {
+    settings: ResumeSettings,
+    history: VersionHistory,
+    records: StreamRecords,
+    peers: Vec<HolderPeer>,
+    /// Services whose streams are told to holders.
+    told_services: BTreeSet<Name>,
+}
+
+impl ResumePolicy {
+    pub fn new(settings: ResumeSettings) -> Self {
+        Self { settings, ..Self::default() }
+    }
+
+    /// Sets the longest time in milliseconds that a stream may last by the configuration.
+    pub fn set_longest_stream(&mut self, longest: Millis) {
+        self.history.set_longest_stream(longest, &self.settings);
+    }
+
+    /// Sets the live peers, without this router.
+    pub fn set_peers(&mut self, peers: Vec<HolderPeer>) {
+        self.peers = peers;
+    }
+
+    /// Records the service and version of all targets that are published now. What was known
+    /// before was complete at `confirmed_at`.
+    pub fn update_versions(
+        &mut self,
+        targets: impl Iterator<Item = (Name, Name)>,
+        confirmed_at: Option<Millis>,
+        now: Millis,
+    ) {
+        self.history.update(targets, confirmed_at, now);
+    }
+
+    /// Returns what this router has seen of versions, for a peer that has just started.
+    pub fn version_notice(&self, now: Millis) -> VersionNotice {
+        self.history.notice(now)
+    }
+
+    /// Takes over what a peer has seen of versions.
+    pub fn merge_versions(&mut self, notice: VersionNotice, now: Millis) {
+        self.history.merge(notice, now);
+    }
+
+    /// Records the age of the view of the targets, and drops what is too old to matter. To be
+    /// called several times a second. Returns the services whose open streams have to be told
+    /// to holders now, as they were not told when they began.
+    pub fn refresh(&mut self, view_age: Option<Millis>, now: Millis) -> Vec<Name> {
+        self.records.expire(self.history.window(), now);
+        self.history.observe(view_age, &self.settings, now);
+        let services = self.history.services();
+        let is_told =
+            |service: &&Name| self.history.is_uncertain(service, view_age, &self.settings, now);
+        let told: BTreeSet<Name> = services.filter(is_told).cloned().collect();
+        let newly = told.difference(&self.told_services).cloned().collect();
+        self.told_services = told;
+        newly
+    }
+
+    /// Whether holders have to be told of a stream of a service that begins.
+    pub fn must_tell(&self, service: &str, view_age: Option<Millis>, now: Millis) -> bool {
+        self.history.is_uncertain(service, view_age, &self.settings, now)
+    }
+
+    /// Records what began a stream, of this router or of a peer.
+    pub fn record(&mut self, record: &StreamRecord, now: Millis) {
+        let StreamRecord { key, origin } = record;
+        self.records.record(*key, origin, self.settings.max_records, now);
+    }
+
+    /// Returns the holders of a stream.
+    pub fn holders(&self, key: StreamKey) -> Vec<SocketAddr> {
+        choose_holders(key, &self.peers, self.settings.holders)
+    }
+
+    /// Returns the versions that some routers may not know yet. Streams begin there only if
+    /// there is no other.
+    pub fn unsettled_versions(&self, service: &str, now: Millis) -> Vec<Name> {
+        self.history.unsettled(service, &self.settings, now)
+    }
+
+    /// Decides where a stream goes on that a caller takes up. It is unknown, like `key`, if the
+    /// caller does not name it.
+    pub fn decide(
+        &self,
+        key: Option<StreamKey>,
+        service: &Name,
+        view_age: Option<Millis>,
+        now: Millis,
+    ) -> ResumeDecision {
+        match key.map(|key| self.records.get(key)) {
+            Some(KnownOrigin::Began(origin)) => return ResumeDecision::Began((*origin).clone()),
+            Some(KnownOrigin::Ambiguous) => return ResumeDecision::Ambiguous,
+            Some(KnownOrigin::Unknown) | None => {}
+        }
+        let sole = self.history.sole_version(service, &self.settings, now);
+        let is_certain = !self.must_tell(service, view_age, now);
+        match sole.filter(|_| is_certain) {
+            Some(version) => {
+                let (service, version) = (Name::clone(service), Name::clone(version));
+                ResumeDecision::Began(StreamOrigin { service, version })
+            }
+            None => ResumeDecision::Ask(key.map(|key| self.holders(key)).unwrap_or_default()),
+        }
+    }
+
+    /// Returns what this router says of a stream of `service` that is taken up elsewhere.
+    pub fn answer(
+        &self,
+        key: Option<StreamKey>,
+        service: &str,
+        view_age: Option<Millis>,
+        now: Millis,
+    ) -> HolderAnswer {
+        match key.map(|key| self.records.get(key)) {
+            Some(KnownOrigin::Began(origin)) => {
+                return HolderAnswer::Began(Arc::unwrap_or_clone(origin));
+            }
+            Some(KnownOrigin::Ambiguous) => return HolderAnswer::Unknown,
+            Some(KnownOrigin::Unknown) | None => {}
+        }
+        let is_fresh = view_age.is_some_and(|age| age <= self.settings.fresh_ms);
+        let sole = self.history.sole_version(service, &self.settings, now);
+        sole.map_or(HolderAnswer::Unknown, |version| HolderAnswer::Sole {
+            version: Name::clone(version),
+            is_fresh,
+        })
+    }
+
+    /// Returns the number of streams that are remembered.
+    pub fn record_count(&self) -> usize {
+        self.records.len()
+    }
+}
--- /dev/null
+++ b/crates/resume/tests/policy.rs
@@ -0,0 +1,117 @@
+//! Decisions of one router.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use base::Name;
+use resume::{
+    HolderPeer, ResumeDecision, ResumePolicy, ResumeSettings, StreamKey, StreamOrigin,
+    StreamRecord, choose_holders,
+};
+
+const SERVICE: &str = "model";
+const LONGEST_MS: u64 = 10_000;
+/// A time at which a router has seen its targets for long.
+const LATER: u64 = 60_000;
+
+fn origin(version: &str) -> StreamOrigin {
+    StreamOrigin { service: SERVICE.into(), version: version.into() }
+}
+
+/// Returns a policy that has seen v1 alone until [`LATER`].
+fn settled_policy() -> ResumePolicy {
+    let mut policy = ResumePolicy::new(ResumeSettings::default());
+    policy.set_longest_stream(LONGEST_MS);
+    policy.update_versions([(SERVICE.into(), "v1".into())].into_iter(), None, 0);
+    policy.refresh(Some(0), 0);
+    policy.refresh(Some(0), LATER);
+    policy
+}
+
+fn decide(policy: &ResumePolicy, id: &str, view_age: u64, now: u64) -> ResumeDecision {
+    let key = StreamKey::new(Some("north"), id);
+    policy.decide(Some(key), &Name::from(SERVICE), Some(view_age), now)
+}
+
+/// Guards against streams that go on at the version that a router saw seconds ago, while others
+/// begin streams at a new one: it asks as soon as others may.
+#[test]
+fn version_seen_alone_is_relied_on_only_while_nobody_uses_another() {
+    let settings = ResumeSettings::default();
+    assert!(settings.fresh_ms < settings.settle_ms);
+    let policy = settled_policy();
+    assert_eq!(decide(&policy, "r-1", 0, LATER), ResumeDecision::Began(origin("v1")));
+    let age = settings.fresh_ms;
+    assert_eq!(decide(&policy, "r-1", age, LATER), ResumeDecision::Began(origin("v1")));
+    assert_eq!(decide(&policy, "r-1", age + 1, LATER), ResumeDecision::Ask(Vec::new()));
+}
+
+/// Guards against streams at a version that other routers do not know yet.
+#[test]
+fn streams_begin_at_a_new_version_once_all_know_it() {
+    let mut policy = settled_policy();
+    let both = [(SERVICE.into(), "v1".into()), (SERVICE.into(), "v2".into())];
+    policy.update_versions(both.into_iter(), Some(LATER), LATER);
+    let settle_ms = ResumeSettings::default().settle_ms;
+    assert_eq!(policy.unsettled_versions(SERVICE, LATER + settle_ms - 1), [Name::from("v2")]);
+    assert!(policy.unsettled_versions(SERVICE, LATER + settle_ms).is_empty());
+    assert_eq!(policy.refresh(Some(0), LATER), [Name::from(SERVICE)]);
+    assert!(policy.refresh(Some(0), LATER + 200).is_empty(), "open streams are told once");
+}
+
+/// Guards against a stream that goes on at the wrong version as its id was used twice.
+#[test]
+fn id_that_was_used_for_two_versions_is_ambiguous() {
+    let mut policy = settled_policy();
+    let key = StreamKey::new(Some("north"), "r-1");
+    policy.record(&StreamRecord { key, origin: origin("v1") }, LATER);
+    assert_eq!(decide(&policy, "r-1", 0, LATER), ResumeDecision::Began(origin("v1")));
+    policy.record(&StreamRecord { key, origin: origin("v2") }, LATER);
+    assert_eq!(decide(&policy, "r-1", 0, LATER), ResumeDecision::Ambiguous);
+}
+
+/// Guards against a caller that names the stream of another client account.
+#[test]
+fn streams_of_two_accounts_with_one_id_differ() {
+    assert_ne!(StreamKey::new(Some("north"), "r-1"), StreamKey::new(Some("south"), "r-1"));
+    assert_ne!(StreamKey::new(None, "r-1"), StreamKey::new(Some("south"), "r-1"));
+}
+
+/// Guards against memory without a bound: ids that are forged, or recorded again and again.
+#[test]
+fn records_are_bounded_and_expire() {
+    let settings = ResumeSettings { max_records: 100, ..ResumeSettings::default() };
+    let mut policy = ResumePolicy::new(settings);
+    policy.set_longest_stream(LONGEST_MS);
+    for number in 0..1_000 {
+        let key = StreamKey::new(None, &format!("r-{}", number % 300));
+        policy.record(&StreamRecord { key, origin: origin("v1") }, number);
+        assert!(policy.record_count() <= 100, "{} records", policy.record_count());
+    }
+    let window = LONGEST_MS + settings.return_ms;
+    policy.refresh(Some(0), 1_000 + window + 1);
+    assert_eq!(policy.record_count(), 0);
+}
+
+/// Holders are spread over the failure domains, and routers that miss one another's newest peer
+/// share most of them.
+#[test]
+fn holders_are_spread_and_agreed_on() {
+    let address = |index: u16| SocketAddr::from(([10, 0, 0, 1], 7_000 + index));
+    let peer = |index: u16| {
+        let domain = format!("zone-{}", index % 3);
+        HolderPeer::new(&format!("router-{index}"), domain.as_str().into(), address(index))
+    };
+    let peers: Vec<HolderPeer> = (0..9).map(peer).collect();
+    for number in 0..200 {
+        let key = StreamKey::new(None, &format!("r-{number}"));
+        let holders = choose_holders(key, &peers, 3);
+        let domains: BTreeSet<u16> = holders.iter().map(|holder| holder.port() % 3).collect();
+        assert_eq!((holders.len(), domains.len()), (3, 3));
+        let fewer = choose_holders(key, &peers[..8], 3);
+        let shared = fewer.iter().filter(|holder| holders.contains(holder)).count();
+        assert!(shared >= 2, "{holders:?} and {fewer:?}");
+    }
+    assert_eq!(choose_holders(StreamKey::new(None, "r"), &peers[..2], 3).len(), 2);
+    assert!(choose_holders(StreamKey::new(None, "r"), &[], 3).is_empty());
+}
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -23,6 +23,11 @@
         matches!(self, Self::Idempotent | Self::Stream { resumable: true })
     }
 
+    /// Whether the response is a stream that may go on at another target.
+    pub fn is_resumable(self) -> bool {
+        matches!(self, Self::Stream { resumable: true })
+    }
+
     /// Whether the response is a stream of events.
     pub fn is_stream(self) -> bool {
         matches!(self, Self::Stream { .. })
@@ -181,6 +186,14 @@
         routes.iter().find(|route| path.starts_with(&*route.path_prefix))
     }
 
+    /// Returns the longest time in milliseconds that a response may take on a route whose streams
+    /// may be resumed, 0 if there is none.
+    pub fn longest_stream_ms(&self) -> u64 {
+        let routes = self.hosts.values().flat_map(|HostRoutes(routes)| routes);
+        let resumable = routes.filter(|route| route.kind.is_resumable());
+        resumable.map(|route| route.timeout_ms).max().unwrap_or(0)
+    }
+
     pub fn service(&self, name: &str) -> Option<&ServiceSpec> {
         self.services.get(name)
     }
--- a/crates/sse/src/boundary.rs
+++ b/crates/sse/src/boundary.rs
@@ -67,6 +67,11 @@
         Ok(())
     }
 
+    /// Whether an event has ended.
+    pub fn has_event(&self) -> bool {
+        self.has_event
+    }
+
     /// Whether the stream is inside an event: an event has begun, and its empty line
     /// has not been received.
     pub fn is_in_event(&self) -> bool {
--- a/crates/sse/src/splitter.rs
+++ b/crates/sse/src/splitter.rs
@@ -16,6 +16,8 @@
     last_id: Option<u64>,
     /// Whether part of an event was passed on before its end.
     has_passed_part: bool,
+    /// Whether an event was passed on, at least in part.
+    has_passed_event: bool,
 }
 
 impl EventSplitter {
@@ -33,6 +35,8 @@
             end = self.partial.len();
         }
         let complete: Vec<u8> = self.partial.drain(..end).collect();
+        let has_event = self.boundary.has_event() || self.has_passed_part;
+        self.has_passed_event |= !complete.is_empty() && has_event;
         for line in complete.split(|byte| matches!(byte, b'\n' | b'\r')) {
             let id = line.strip_prefix(b"id:").and_then(|id| std::str::from_utf8(id).ok());
             if let Some(id) = id.and_then(|id| id.trim().parse().ok()) {
@@ -47,6 +51,11 @@
         !self.has_passed_part
     }
 
+    /// Whether an event was passed on, at least in part.
+    pub fn has_passed_event(&self) -> bool {
+        self.has_passed_event
+    }
+
     /// Returns the last event id that was passed on.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
--- a/crates/target/src/entry.rs
+++ b/crates/target/src/entry.rs
@@ -29,4 +29,9 @@
     /// Remaining time in milliseconds for which the target is slower than usual
     /// after its start, as of the time when the entry was written.
     pub warm_up_ms: u64,
+    /// Version of the target's software, not of its weights. What two versions write does not
+    /// fit together. Routers tell each other beside the entry, as earlier ones do not know it;
+    /// empty if none told.
+    #[serde(skip)]
+    pub software_version: Name,
 }
--- a/crates/target/src/registry.rs
+++ b/crates/target/src/registry.rs
@@ -165,6 +165,7 @@
             entry.state == TargetState::Draining
                 && self.leaving.record(&entry.id, entry.incarnation, LeavingOrigin::Entry, now)
         });
+        self.fill_in_version(&record);
         let known = self.records.get(&record.id);
         if known.is_some_and(|known| known.revision >= record.revision) {
             let is_known = known.and_then(|known| known.entry.as_ref()).is_some_and(|known| {
@@ -206,6 +207,20 @@
         change
     }
 
+    /// Takes the software version of a known entry from a record of the same revision, if the
+    /// peer that sent the known one did not tell it.
+    fn fill_in_version(&mut self, record: &TargetRecord) {
+        let Some(entry) = &record.entry else { return };
+        let Some(known) = self.records.get_mut(&record.id) else { return };
+        if known.revision != record.revision {
+            return;
+        }
+        if let Some(known) = known.entry.as_mut().filter(|known| known.software_version.is_empty())
+        {
+            Arc::make_mut(known).software_version = Name::clone(&entry.software_version);
+        }
+    }
+
     /// Merges a complete listing of the source at `revision`. Entries that are
     /// missing in it were removed.
     pub fn merge_listing(
--- a/crates/target/tests/common/mod.rs
+++ b/crates/target/tests/common/mod.rs
@@ -17,5 +17,6 @@
         slots: 4,
         state,
         warm_up_ms: 0,
+        software_version: "v1".into(),
     }
 }
