--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -24,10 +24,10 @@
 use crate::view::{UpdateOrigin, apply_update};
 
 /// Time limits for fetching the configuration from a peer. A large one takes seconds on a small
-/// machine, so that only a peer that sends nothing is given up early.
+/// machine, so that only a peer that sends next to nothing is given up early.
 const FETCH_TIMEOUTS: FetchTimeouts = FetchTimeouts {
     head: Duration::from_millis(400),
-    pause: Duration::from_millis(600),
+    part: Duration::from_millis(600),
     total: Duration::from_secs(10),
 };
 
--- a/crates/outbound/src/fetch.rs
+++ b/crates/outbound/src/fetch.rs
@@ -9,6 +9,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Bytes, Incoming};
 use thiserror::Error;
+use tokio::time::Instant;
 
 use crate::connection::{Connection, ExchangeError, connect};
 
@@ -23,17 +24,21 @@
     Body { peer: SocketAddr, cause: String },
     #[error("step=fetch peer={peer}: no answer in {waited_ms} ms")]
     Timeout { peer: SocketAddr, waited_ms: u128 },
-    #[error("step=read_body peer={peer}: no bytes for {waited_ms} ms")]
+    #[error("step=read_body peer={peer}: under {PART_BYTES} bytes in {waited_ms} ms")]
     Stalled { peer: SocketAddr, waited_ms: u128 },
 }
 
+/// Bytes of a body that have to arrive in the time for a part.
+pub const PART_BYTES: usize = 16 << 10;
+
 /// Time limits of a fetch.
 #[derive(Clone, Copy, Debug)]
 pub struct FetchTimeouts {
     /// Until the head of the response has arrived, including opening a connection.
     pub head: Duration,
-    /// Between two parts of the body.
-    pub pause: Duration,
+    /// For each [`PART_BYTES`] of the body, and for what is left of it. A peer that sends a byte
+    /// now and then is not waited for.
+    pub part: Duration,
     /// For the whole exchange.
     pub total: Duration,
 }
@@ -41,7 +46,7 @@
 impl From<Duration> for FetchTimeouts {
     /// Limits the whole exchange only.
     fn from(total: Duration) -> Self {
-        Self { head: total, pause: total, total }
+        Self { head: total, part: total * 2, total }
     }
 }
 
@@ -104,7 +109,7 @@
         body: Bytes,
         timeouts: impl Into<FetchTimeouts>,
     ) -> Result<Response<Bytes>, FetchError> {
-        let FetchTimeouts { head, pause, total } = timeouts.into();
+        let FetchTimeouts { head, part, total } = timeouts.into();
         let peer = self.peer;
         let idle = self.idle.take().filter(Connection::is_idle);
         let request = request
@@ -126,7 +131,7 @@
             let begun = tokio::time::timeout(head, begin).await;
             let (connection, response) = begun.map_err(|_| timed_out(head))??;
             let (parts, body) = response.into_parts();
-            let body = read_body(peer, body, max_body_bytes, pause).await?;
+            let body = read_body(peer, body, max_body_bytes, part).await?;
             Ok((connection, Response::from_parts(parts, body)))
         };
         match tokio::time::timeout(total, exchange).await {
@@ -140,19 +145,21 @@
     }
 }
 
-/// Reads a body of up to `max_bytes`, whose parts come within `pause` of each other. It is
-/// copied into one buffer, as chunks of a few bytes would each take many times their length.
+/// Reads a body of up to `max_bytes`, of which each part arrives within `part`. It is copied into
+/// one buffer, as chunks of a few bytes would each take many times their length.
 async fn read_body(
     peer: SocketAddr,
     mut body: Incoming,
     max_bytes: usize,
-    pause: Duration,
+    part: Duration,
 ) -> Result<Bytes, FetchError> {
     let failed = |cause: String| FetchError::Body { peer, cause };
     let mut received = Vec::new();
+    let mut part_bytes = 0;
+    let mut deadline = Instant::now() + part;
     loop {
-        let next = tokio::time::timeout(pause, body.frame()).await;
-        let next = next.map_err(|_| FetchError::Stalled { peer, waited_ms: pause.as_millis() })?;
+        let next = tokio::time::timeout_at(deadline, body.frame()).await;
+        let next = next.map_err(|_| FetchError::Stalled { peer, waited_ms: part.as_millis() })?;
         let Some(frame) = next else { return Ok(received.into()) };
         let frame = frame.map_err(|cause| failed(cause.to_string()))?;
         let Some(bytes) = frame.data_ref() else { continue };
@@ -160,5 +167,10 @@
             return Err(failed(format!("body has over {max_bytes} bytes")));
         }
         received.extend_from_slice(bytes);
+        part_bytes += bytes.len();
+        if part_bytes >= PART_BYTES {
+            part_bytes = 0;
+            deadline = Instant::now() + part;
+        }
     }
 }
--- a/crates/outbound/src/lib.rs
+++ b/crates/outbound/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use connection::{Connection, ExchangeError, connect};
 pub use exhaustion::is_local_exhaustion;
-pub use fetch::{FetchClient, FetchError, FetchTimeouts};
+pub use fetch::{FetchClient, FetchError, FetchTimeouts, PART_BYTES};
 pub use framing::BodyFraming;
 pub use pool::{ConnectionPool, PoolKey, PoolSettings, max_idle_connections};
 pub use probe::{ListenerState, probe_listener};
