--- a/crates/ctl/src/logs.rs
+++ b/crates/ctl/src/logs.rs
@@ -149,12 +149,35 @@
                 field("after")
             )
         }
+        ("streams", "taken_up") => format!(
+            "takes up the stream of request {}, which goes on at software version {} of {} (by {})",
+            field("resumed"),
+            field("version"),
+            field("service"),
+            describe_source(line),
+        ),
+        ("streams", "not_known") => format!(
+            "takes up the stream of request {}, and nobody knows which software version of {} \
+             began it (by {}); targets as of {} ms ago",
+            field("resumed"),
+            field("service"),
+            describe_source(line),
+            field("view_age"),
+        ),
         ("call", "ended") => describe_end(line),
         (unit, event) => format!("{unit}: {event}"),
     };
     format!("{} {description}", line.time)
 }
 
+/// Describes how it became known what began a stream.
+fn describe_source(line: &LogLine) -> &'static str {
+    match line.field("learned") {
+        Some("Holders") => "the answers of its holders",
+        _ => "what the instance itself knows",
+    }
+}
+
 fn describe_end(line: &LogLine) -> String {
     let field = |name| line.field(name).unwrap_or("-");
     let mut description = format!(
--- a/crates/ctl/tests/logs.rs
+++ b/crates/ctl/tests/logs.rs
@@ -47,3 +47,20 @@
     let refused = rows.iter().find(|row| row.end == "Refused").unwrap();
     assert_eq!((refused.first_ms, refused.took_ms), (None, (12, 12)));
 }
+
+#[test]
+fn streams_that_are_taken_up_are_explained() {
+    let log = r#"
+2026-12-05T04:06:53.860230Z  INFO gateway::streams: unit="streams" event="not_known" request="r-1" resumed="r-0" service=app learned=Holders took_ms=1 view_age=314
+2026-12-05T04:06:53.938391Z  INFO gateway::streams: unit="streams" event="taken_up" request="r-3" resumed="r-2" service=app version=v1 learned=Own took_ms=0
+"#;
+    let lines = read_lines(log.as_bytes());
+    let text = |request| {
+        let lines = trace_request(&lines, request).into_iter().map(describe);
+        lines.collect::<Vec<_>>().concat()
+    };
+    assert!(text("r-1").contains("nobody knows which software version of app"), "{}", text("r-1"));
+    assert!(text("r-1").contains("314 ms ago"), "{}", text("r-1"));
+    assert!(text("r-3").contains("stream of request r-2"), "{}", text("r-3"));
+    assert!(text("r-3").contains("software version v1 of app"), "{}", text("r-3"));
+}
