gateway: a holder is forgotten once its configuration was fetched; find_taken_up is split

A peer that announces a newer version than it serves would have been asked again without a pause; it is forgotten after each response and recorded again by its next announcement. Logging of taken-up streams is a function of its own. Large_config and versions tests pass (12).

--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -77,10 +77,8 @@
 async fn ask(context: &GatewayContext, peer: SocketAddr, version: Option<u64>) {
     match fetch(context, peer, version).await {
         Ok(FetchedConfiguration::Response(response)) => {
-            if response.table.is_none() {
-                context.holders().remove(peer);
-                return;
-            }
+            // What the peer has is known now, whatever it announced; it may announce more.
+            context.holders().remove(peer);
             let update = SourceUpdate { table: response.table, ..SourceUpdate::default() };
             apply_update(context, update, UpdateOrigin::Peer);
         }
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -193,40 +193,47 @@
             (look_up(context, key, &call.service, holders).await, OriginSource::Holders)
         }
     };
-    let took_ms = context.now().saturating_sub(started_at);
+    log_taken_up(call, &verdict, source, context.now().saturating_sub(started_at), view_age);
+    let LookupVerdict::Began(origin) = verdict else {
+        return Err(Refusal::retry_after(RefusalCause::StreamUnknown, UNKNOWN_RETRY_MS));
+    };
+    context.metrics.incr("streams_taken_up").ok();
+    check_service(call, &origin)?;
+    Ok(Some(TakenUpStream { key, origin }))
+}
+
+fn log_taken_up(
+    call: &RoutedCall,
+    verdict: &LookupVerdict,
+    source: OriginSource,
+    took_ms: Millis,
+    view_age: Option<Millis>,
+) {
     let request = call.id();
-    let resumed = metadata.resumed_id.as_deref();
+    let resumed = call.received.metadata.resumed_id.as_deref();
     let service = &call.service;
+    let learned = source;
     match verdict {
-        LookupVerdict::Began(origin) => {
-            let version = &origin.version;
-            context.metrics.incr("streams_taken_up").ok();
-            tracing::info!(
-                unit = "streams",
-                event = "taken_up",
-                request,
-                resumed,
-                %service,
-                %version,
-                learned = ?source,
-                took_ms,
-            );
-            check_service(call, &origin)?;
-            Ok(Some(TakenUpStream { key, origin }))
-        }
-        LookupVerdict::Unknown => {
-            tracing::info!(
-                unit = "streams",
-                event = "not_known",
-                request,
-                resumed,
-                %service,
-                learned = ?source,
-                took_ms,
-                view_age,
-            );
-            Err(Refusal::retry_after(RefusalCause::StreamUnknown, UNKNOWN_RETRY_MS))
-        }
+        LookupVerdict::Began(StreamOrigin { version, .. }) => tracing::info!(
+            unit = "streams",
+            event = "taken_up",
+            request,
+            resumed,
+            %service,
+            %version,
+            ?learned,
+            took_ms,
+        ),
+        LookupVerdict::Unknown => tracing::info!(
+            unit = "streams",
+            event = "not_known",
+            request,
+            resumed,
+            %service,
+            ?learned,
+            took_ms,
+            view_age,
+        ),
     }
 }
 
--- a/crates/mesh/src/spread.rs
+++ b/crates/mesh/src/spread.rs
@@ -191,7 +191,7 @@
         self.delay(peer, now + self.settings.failed_ms);
     }
 
-    /// Records that a peer does not have a newer version than this router.
+    /// Forgets a peer whose configuration this router has got, or which has none that is newer.
     pub fn remove(&mut self, peer: SocketAddr) {
         self.holders.remove(&peer);
     }
