fix: a listing of the source counts for the versions announced before it began (DRAIN)

A version that a peer announced while a listing was under way counted as listed for, although the listing may have been answered before it was written. If its holders were then lost, the router read only what came after. The bookkeeping is in mesh::spread now; the test fails with the rule as it was ('the listing may lack version 9').

--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -48,7 +48,7 @@
 /// Records that the peer with the HTTP address `peer` has a version of the configuration, which
 /// is fetched if it is newer than that of this router.
 pub(crate) fn record_version(context: &GatewayContext, peer: SocketAddr, version: Option<u64>) {
-    context.source().record_announced_version(version);
+    context.source().announced.record(version);
     let own_version = context.versions().version();
     let Some(version) = version.filter(|version| Some(*version) > own_version) else { return };
     context.holders().record(peer, version);
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -12,7 +12,8 @@
 use base::{Millis, MonoClock, Name, Origin, stable_hash};
 use cadence::StatsdClient;
 use mesh::{
-    HolderList, HolderSettings, MemberSettings, MemberTable, TransferPolicy, TransferSettings,
+    AnnouncedVersions, HolderList, HolderSettings, MemberSettings, MemberTable, TransferPolicy,
+    TransferSettings,
 };
 use quarantine::{PartQuarantine, QuarantineSettings};
 use rate::{FleetView, RateLimiter, RateSettings};
@@ -47,10 +48,8 @@
     confirmed_at: Option<Millis>,
     /// A peer read the source at this time, up to this revision, which this router lacks.
     unconfirmed: Option<(u64, Millis)>,
-    /// Newest version of the configuration that a peer has announced.
-    announced_version: Option<u64>,
-    /// `announced_version` when the source was last listed.
-    listed_version: Option<u64>,
+    /// Versions of the configuration that peers have announced.
+    pub(crate) announced: AnnouncedVersions,
 }
 
 impl SourceProgress {
@@ -91,23 +90,6 @@
         self.confirmed_at.map(|at| now.saturating_sub(at))
     }
 
-    /// Records that a peer has a version of the configuration.
-    pub(crate) fn record_announced_version(&mut self, version: Option<u64>) {
-        self.announced_version = self.announced_version.max(version);
-    }
-
-    /// Whether the source has to be listed, as its changes after `revision` may lack the
-    /// configuration: the changes before came from a peer, and `version` in force is not yet the
-    /// one that came with them. Once for each version, as a restored source may not have it.
-    pub(crate) fn must_list(&self, version: Option<u64>) -> bool {
-        self.announced_version > version && self.announced_version > self.listed_version
-    }
-
-    /// Records that the source was listed.
-    pub(crate) fn record_listing(&mut self) {
-        self.listed_version = self.announced_version;
-    }
-
     /// Records that every change up to `revision` is applied. Returns whether that advanced
     /// the view.
     pub(crate) fn advance(&mut self, revision: u64) -> bool {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -52,12 +52,12 @@
             continue;
         }
         let version = context.versions().version();
-        let (after, lacks_version) = {
+        let (after, announced) = {
             let source = context.source();
-            (source.revision, source.must_list(version))
+            (source.revision, source.announced)
         };
         let started_at = context.now();
-        let (result, origin) = if needs_listing || lacks_version || after == 0 {
+        let (result, origin) = if needs_listing || announced.must_list(version) || after == 0 {
             (source.read_all().await, UpdateOrigin::Listing)
         } else {
             (source.read_changes(after, READ_WAIT).await, UpdateOrigin::Changes)
@@ -67,7 +67,7 @@
                 needs_listing = false;
                 let now = context.now();
                 if origin == UpdateOrigin::Listing {
-                    context.source().record_listing();
+                    context.source().announced.record_listing(announced.newest());
                 }
                 context.targets().record_source_reached(now);
                 if failures > 0 {
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -15,6 +15,6 @@
 pub use reader::{ReaderPolicy, ReaderSettings, ReaderVerdict};
 pub use report::{DomainMembers, PeerSighting, ReportRequest, SightingTag};
 pub use spread::{
-    HolderList, HolderSettings, HolderVerdict, TransferKey, TransferPolicy, TransferSettings,
-    TransferVerdict,
+    AnnouncedVersions, HolderList, HolderSettings, HolderVerdict, TransferKey, TransferPolicy,
+    TransferSettings, TransferVerdict,
 };
--- a/crates/mesh/src/spread.rs
+++ b/crates/mesh/src/spread.rs
@@ -105,6 +105,42 @@
     }
 }
 
+/// Versions of the configuration that peers have announced, and whether a router that reads the
+/// source has to list it for one of them.
+///
+/// A router may know all newer targets from a peer and not the configuration that came before
+/// them. The changes that it then reads from the source do not have that either.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct AnnouncedVersions {
+    newest: Option<u64>,
+    /// `newest` when the last listing of the source began.
+    listed: Option<u64>,
+}
+
+impl AnnouncedVersions {
+    /// Records that a peer has a version.
+    pub fn record(&mut self, version: Option<u64>) {
+        self.newest = self.newest.max(version);
+    }
+
+    /// Returns the newest version.
+    pub fn newest(&self) -> Option<u64> {
+        self.newest
+    }
+
+    /// Whether a router with `version` has to list the source. Once for each version, as a
+    /// restored source may not have it.
+    pub fn must_list(&self, version: Option<u64>) -> bool {
+        self.newest > version && self.newest > self.listed
+    }
+
+    /// Records that a listing of the source has ended; `newest` was the newest version when it
+    /// began.
+    pub fn record_listing(&mut self, newest: Option<u64>) {
+        self.listed = self.listed.max(newest);
+    }
+}
+
 /// Limits of [`HolderList`].
 #[derive(Clone, Copy, Debug)]
 pub struct HolderSettings {
--- a/crates/mesh/tests/spread.rs
+++ b/crates/mesh/tests/spread.rs
@@ -6,8 +6,8 @@
 
 use base::stable_hash;
 use mesh::{
-    HolderList, HolderSettings, HolderVerdict, TransferKey, TransferPolicy, TransferSettings,
-    TransferVerdict,
+    AnnouncedVersions, HolderList, HolderSettings, HolderVerdict, TransferKey, TransferPolicy,
+    TransferSettings, TransferVerdict,
 };
 
 const STEP_MS: u64 = 5;
@@ -245,3 +245,18 @@
     let refused = policy.begin(2, CONFIG_BYTES, address(4), 0);
     assert_eq!(refused, TransferVerdict::Refer(vec![address(2)]));
 }
+
+/// Guards against a configuration that is never read (CONFIG): it was announced while a listing of
+/// the source was under way that may lack it, and its holders were lost.
+#[test]
+fn version_that_is_announced_during_a_listing_is_listed_for_again() {
+    let mut versions = AnnouncedVersions::default();
+    versions.record(Some(7));
+    assert!(versions.must_list(Some(3)));
+    let newest = versions.newest();
+    versions.record(Some(9));
+    versions.record_listing(newest);
+    assert!(versions.must_list(Some(7)), "the listing may lack version 9");
+    versions.record_listing(versions.newest());
+    assert!(!versions.must_list(Some(7)), "a restored source may not have version 9");
+}
