fix: a software version that is told later counts as a change of its target (ORDER)

Found by reading the change again. Beside peers of an earlier build an entry may come without its version and get it from a later record of the same revision. That was reported as no change, so the history of versions kept the unknown one, and streams were taken up at a version that no target has. The test failed before ('left: Unchanged, right: Updated'). Platforms with one build are not affected.

--- a/crates/target/src/registry.rs
+++ b/crates/target/src/registry.rs
@@ -165,7 +165,9 @@
             entry.state == TargetState::Draining
                 && self.leaving.record(&entry.id, entry.incarnation, LeavingOrigin::Entry, now)
         });
-        self.fill_in_version(&record);
+        if self.fill_in_version(&record) {
+            return RecordChange::Updated;
+        }
         let known = self.records.get(&record.id);
         if known.is_some_and(|known| known.revision >= record.revision) {
             let is_known = known.and_then(|known| known.entry.as_ref()).is_some_and(|known| {
@@ -208,17 +210,18 @@
     }
 
     /// Takes the software version of a known entry from a record of the same revision, if the
-    /// peer that sent the known one did not tell it.
-    fn fill_in_version(&mut self, record: &TargetRecord) {
-        let Some(entry) = &record.entry else { return };
-        let Some(known) = self.records.get_mut(&record.id) else { return };
-        if known.revision != record.revision {
-            return;
-        }
-        if let Some(known) = known.entry.as_mut().filter(|known| known.software_version.is_empty())
-        {
-            Arc::make_mut(known).software_version = Name::clone(&entry.software_version);
+    /// peer that sent the known one did not tell it; returns whether it did.
+    fn fill_in_version(&mut self, record: &TargetRecord) -> bool {
+        let told = record.entry.as_ref().map(|entry| &entry.software_version);
+        let Some(told) = told.filter(|version| !version.is_empty()) else { return false };
+        let known = self.records.get_mut(&record.id);
+        let known = known.filter(|known| known.revision == record.revision);
+        let Some(known) = known.and_then(|known| known.entry.as_mut()) else { return false };
+        if !known.software_version.is_empty() {
+            return false;
         }
+        Arc::make_mut(known).software_version = Name::clone(told);
+        true
     }
 
     /// Merges a complete listing of the source at `revision`. Entries that are
--- a/crates/target/tests/registry.rs
+++ b/crates/target/tests/registry.rs
@@ -7,7 +7,8 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use target::{
-    ERA_REVISIONS, RecordChange, RegistrySettings, TargetRecord, TargetRegistry, TargetState,
+    ERA_REVISIONS, RecordChange, RegistrySettings, TargetEntry, TargetRecord, TargetRegistry,
+    TargetState,
 };
 
 fn written(id: &str, revision: u64, state: TargetState) -> TargetRecord {
@@ -276,3 +277,19 @@
         prop_assert_eq!(ids(&ordered), ids(&peer));
     }
 }
+
+/// Guards against a router that goes on with an unknown software version (ORDER): the peer that
+/// sent the entry first was of an earlier build and did not tell the version, and the next record
+/// has the same revision.
+#[test]
+fn software_version_that_a_later_record_tells_is_a_change() {
+    let mut registry = TargetRegistry::default();
+    let told = entry("t-1", 1, TargetState::Serving);
+    let untold = TargetEntry { software_version: "".into(), ..told.clone() };
+    let record = |entry| TargetRecord { id: "t-1".into(), entry: Some(entry), revision: 5 };
+    assert_eq!(registry.merge(record(untold.clone()), 0), RecordChange::Added);
+    assert_eq!(registry.merge(record(told.clone()), 10), RecordChange::Updated);
+    assert_eq!(registry.known().collect::<Vec<_>>(), [&told]);
+    assert_eq!(registry.merge(record(untold), 20), RecordChange::Unchanged);
+    assert_eq!(registry.known().collect::<Vec<_>>(), [&told]);
+}
