test: streams refused are counted while the fault lasts (ORDER, LOST); one case listed as known red

The share was taken over a whole minute, of which the fault lasts eight seconds, so the check was weaker than what it guards. Now also while the fault lasts, against the users' half.

--- a/crates/resume/tests/fleet.rs
+++ b/crates/resume/tests/fleet.rs
@@ -23,8 +23,14 @@
 const NEW_AT: u64 = 20_000;
 const OLD_GONE_AT: u64 = 45_000;
 const END: u64 = 60_000;
+/// Time for which a fault lasts, and within which the streams of killed routers are taken up.
+const FAULT_MS: u64 = 8_000;
+const KILL_MS: u64 = 400;
 /// Every so many streams break off while their router lives.
 const BREAKS_ONE_IN: u64 = 12;
+/// Largest share of the taken-up streams that may be refused: the users allow half of the share of
+/// new streams that begin, which nearly all do here.
+const MAX_REFUSED: f64 = 0.5;
 /// Numbers of routers and of failure domains.
 const FLEETS: [(usize, usize); 4] = [(6, 3), (9, 3), (90, 3), (295, 5)];
 
@@ -68,6 +74,9 @@
     /// At routers that have run for some seconds.
     in_touch: u64,
     in_touch_refused: u64,
+    /// The same, while the fault lasts or just after the kill.
+    during_fault: u64,
+    during_fault_refused: u64,
     mixed: u64,
     told: u64,
     asked: u64,
@@ -144,7 +153,7 @@
     }
 
     fn is_faulty(&self) -> bool {
-        (self.fault_at..self.fault_at + 8_000).contains(&self.now)
+        (self.fault_at..self.fault_at + FAULT_MS).contains(&self.now)
     }
 
     /// Whether a router is in the half that is cut off.
@@ -330,6 +339,11 @@
             && !(self.fault == Fault::SourceAway && self.is_faulty());
         self.counts.in_touch += u64::from(is_in_touch);
         self.counts.in_touch_refused += u64::from(is_in_touch && version.is_none());
+        let fault_ms = if matches!(self.fault, Fault::Killed(_)) { KILL_MS } else { FAULT_MS };
+        let is_during = (self.fault_at..self.fault_at + fault_ms).contains(&self.now);
+        self.counts.during_fault += u64::from(is_in_touch && is_during);
+        self.counts.during_fault_refused +=
+            u64::from(is_in_touch && is_during && version.is_none());
         let Some(version) = version else { return };
         if version != self.truth[&key] {
             self.counts.mixed += 1;
@@ -425,21 +439,52 @@
     }
 }
 
-/// Guards against streams that do not go on although their version serves (LOST): of those that
-/// are taken up at routers in touch, most do in every fault but that of halves, which can't know.
+/// Returns the shares refused of the streams that are taken up at routers in touch: in all, and
+/// while the fault lasts.
+fn refused_shares(routers: usize, domains: usize, fault: Fault) -> (f64, f64) {
+    let simulation = Simulation::new(routers, domains, fault, 30_000, 7);
+    let counts = simulation.run(streams_per_step(routers));
+    let share = |refused: u64, all: u64| refused as f64 / all.max(1) as f64;
+    let during = share(counts.during_fault_refused, counts.during_fault);
+    let in_all = share(counts.in_touch_refused, counts.in_touch);
+    println!(
+        "{routers} routers, {fault:?}: refused {in_all:.3}, during the fault {during:.3} of {}",
+        counts.during_fault
+    );
+    (in_all, during)
+}
+
+/// Guards against streams that do not go on although their version serves (LOST), whatever part
+/// of the routers dies, and although datagrams are lost or the source is away.
 #[test]
 fn most_streams_go_on() {
     for (routers, domains) in FLEETS {
         for fault in all_faults() {
-            let simulation = Simulation::new(routers, domains, fault, 30_000, 7);
-            let counts = simulation.run(streams_per_step(routers));
-            let refused = counts.in_touch_refused as f64 / counts.in_touch.max(1) as f64;
-            println!("{routers} routers, {fault:?}: refused {refused:.3}, {counts:?}");
-            assert!(refused < 0.25, "{routers} routers, {fault:?}: {refused:.3} refused");
+            let (in_all, during) = refused_shares(routers, domains, fault);
+            assert!(in_all < 0.25, "{routers} routers, {fault:?}: {in_all:.3} refused");
+            let is_cut = matches!(fault, Fault::HalfCut | Fault::Halves);
+            assert!(
+                is_cut || during <= MAX_REFUSED,
+                "{routers} routers, {fault:?}: {during:.3} refused during the fault"
+            );
         }
     }
 }
 
+/// Guards against streams that do not go on (LOST) while halves of the fleet do not hear each
+/// other, and callers come back to either half.
+#[test]
+#[ignore = "known to fail, see KNOWN-RED.txt"]
+fn half_of_the_streams_go_on_between_halves_that_do_not_hear_each_other() {
+    let faults = [Fault::HalfCut, Fault::Halves];
+    for ((routers, domains), fault) in
+        FLEETS.into_iter().flat_map(|fleet| faults.map(|f| (fleet, f)))
+    {
+        let (_, during) = refused_shares(routers, domains, fault);
+        assert!(during <= MAX_REFUSED, "{routers} routers, {fault:?}: {during:.3} refused");
+    }
+}
+
 /// Guards against messages for each stream while all targets have one version.
 #[test]
 fn nothing_is_exchanged_beside_one_version() {
