--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -o target/review/review-standins review/standins/main.rs
+rustc --edition 2024 -O -o target/review/review-standins review/main.rs
--- a/review/standins/mixed_versions.rs
+++ b/review/mixed_versions.rs
@@ -36,9 +36,8 @@
 pub fn play() -> Result<usize, String> {
     let network = Network::find(MACHINES)?;
     let store = Store::start(&network.store())?;
-    let config = configuration(&[
-        ("seastate-summary", "streaming", 2, true, 10_000, "briefing-models"),
-    ]);
+    let config =
+        configuration(&[("seastate-summary", "streaming", 2, true, 10_000, "briefing-models")]);
     store.write("op/config", Some(&config));
     let mut old = Vec::new();
     let mut new = Vec::new();
@@ -104,7 +103,9 @@
         }
     }
     let Taken { id, versions, last, is_complete } = &stream;
-    note(&format!("client    {id} has events up to {last} of {versions:?}, complete: {is_complete}"));
+    note(&format!(
+        "client    {id} has events up to {last} of {versions:?}, complete: {is_complete}"
+    ));
     lock(taken).push(stream);
 }
 
--- a/review/standins/support.rs
+++ b/review/support.rs
@@ -231,7 +231,11 @@
                 "/kv-range" => self.list(prefix, query.get("after").copied().unwrap_or_default()),
                 "/kv-watch" => {
                     let number = |name| query.get(name).and_then(|text| text.parse().ok());
-                    self.changes(prefix, number("after").unwrap_or(0), number("waitMs").unwrap_or(0))
+                    self.changes(
+                        prefix,
+                        number("after").unwrap_or(0),
+                        number("waitMs").unwrap_or(0),
+                    )
                 }
                 _ => "{}".to_owned(),
             };
@@ -414,14 +418,16 @@
 
     /// The entry that the replica writes in the store.
     pub fn entry(&self, state: &str) -> String {
-        self.entry_with(state, &format!(r#","born":{}"#, self.born))
+        let (old, born) = (self.entry_of_old_writer(), self.born);
+        let old = old.replace("\"ready\"", &format!("\"{state}\""));
+        format!(r#"{},"coldLeftMs":0,"sequence":4,"born":{born}}}"#, old.trim_end_matches('}'))
     }
 
-    /// The same with `rest` in the place of `born`.
-    pub fn entry_with(&self, state: &str, rest: &str) -> String {
+    /// An entry without `coldLeftMs`, `sequence` and `born`, as another writer may write it.
+    pub fn entry_of_old_writer(&self) -> String {
         let Self { service, version, address, .. } = self;
         format!(
-            r#"{{"service":"{service}","address":"{address}","zone":"bell-bay","version":"{version}","slots":48,"state":"{state}","coldLeftMs":0,"sequence":4{rest}}}"#
+            r#"{{"service":"{service}","address":"{address}","zone":"bell-bay","version":"{version}","slots":48,"state":"ready"}}"#
         )
     }
 
@@ -522,7 +528,14 @@
 }
 
 /// Fills in the template of the deploy file as the platform does, for the fields it has.
-fn render(template: &str, name: &str, ip: &str, zone: &str, seeds: &[String], store: SocketAddr) -> String {
+fn render(
+    template: &str,
+    name: &str,
+    ip: &str,
+    zone: &str,
+    seeds: &[String],
+    store: SocketAddr,
+) -> String {
     let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}:8785\"")).collect();
     let fields = [
         ("{{nodeName|json}}", format!("\"{name}\"")),
@@ -560,7 +573,9 @@
             let (name, ip) = (format!("edge-{zone}-{index}"), network.machine(index));
             let settings = render(&template, &name, &ip, zone, &seeds, store.address);
             if settings.contains("{{") {
-                return Err(format!("deploy/gateway.jsonc has a field without a value: {settings}"));
+                return Err(format!(
+                    "deploy/gateway.jsonc has a field without a value: {settings}"
+                ));
             }
             let folder = format!("poplar-review-{}-{index}", std::process::id());
             let folder = std::env::temp_dir().join(folder);
@@ -611,10 +626,6 @@
         note(&format!("machine   {} starts again", self.name));
         Ok(())
     }
-
-    pub fn has_ended(&mut self) -> bool {
-        !matches!(self.child.try_wait(), Ok(None))
-    }
 }
 
 fn spawn(folder: &Path) -> Result<Child, String> {
