--- a/review/main.rs
+++ b/review/main.rs
@@ -2,6 +2,7 @@
 //! broken, 0 if it held, and 2 if the case couldn't run.
 
 mod doubled_answer;
+mod foreign_entry;
 mod late_stop;
 mod mixed_versions;
 mod support;
@@ -20,6 +21,7 @@
     watch(file.clone());
     let result = match case.as_str() {
         "doubled-answer" => doubled_answer::play(),
+        "foreign-entry" => foreign_entry::play(),
         "late-stop" => late_stop::play(),
         "mixed-versions" => mixed_versions::play(),
         _ => Err(format!("no case {case}")),
