review: cases 2 and 5 stay inside the doses of releases and of scaling

Cause: case 2 replaced all replicas in one release (half is the dose), case 5 took one of three replicas away (0.25 is the largest share in the site file). Change: two releases of two of four replicas each, one a second; one of four replicas leaves.

--- a/review/foreign_entry.rs
+++ b/review/foreign_entry.rs
@@ -12,7 +12,7 @@
 };
 
 const MACHINES: usize = 3;
-const REPLICAS: usize = 3;
+const REPLICAS: usize = 4;
 const CLIENTS: usize = 3;
 
 pub fn play() -> Result<usize, String> {
--- a/review/mixed_versions.rs
+++ b/review/mixed_versions.rs
@@ -1,6 +1,6 @@
-//! A release replaces the replicas of a service by those of another software version. While the
-//! old ones finish their streams, all processes of the system are killed and start again, and
-//! clients take their streams up.
+//! Two releases replace half of the replicas of a service each, by those of another software
+//! version. While the old ones finish their streams, all processes of the system are killed and
+//! start again, and clients take their streams up.
 
 use std::io::{BufReader, Write};
 use std::sync::{Arc, Mutex, RwLock};
@@ -13,7 +13,11 @@
 
 const MACHINES: usize = 6;
 /// Replicas of each version.
-const REPLICAS: usize = 3;
+const REPLICAS: usize = 4;
+/// Time between two replacements of a release.
+const REPLACE_MS: u64 = 1_000;
+/// Time for which the replica and the one that replaces it both are published.
+const OVERLAP_MS: u64 = 400;
 const CLIENTS: usize = 24;
 const EVENTS: u64 = 70;
 const EVENT_GAP_MS: u64 = 100;
@@ -63,16 +67,13 @@
             std::thread::spawn(move || run_client(client, &machines, &taken))
         })
         .collect();
-    pause(800);
-    // The release: the new replicas start first. The old ones never report that they drain:
-    // their entries are removed, and they go on serving.
-    for replica in &new {
-        store.write(&replica.key(), Some(&replica.entry("ready")));
-    }
-    pause(500);
-    for replica in &old {
-        store.write(&replica.key(), None);
-        pause(200);
+    // The releases: one replica is replaced after the other, and the new one starts first. The old
+    // ones never report that they drain: their entries are removed, and they go on serving.
+    for (old, new) in old.iter().zip(&new) {
+        pause(REPLACE_MS - OVERLAP_MS);
+        store.write(&new.key(), Some(&new.entry("ready")));
+        pause(OVERLAP_MS);
+        store.write(&old.key(), None);
     }
     pause(300);
     if has_trouble() {
