--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -193,7 +193,10 @@
             (look_up(context, key, &call.service, holders).await, OriginSource::Holders)
         }
     };
-    log_taken_up(call, &verdict, source, context.now().saturating_sub(started_at), view_age);
+    let took_ms = context.now().saturating_sub(started_at);
+    let observed_ms = context.resumes().observed_ms(started_at);
+    let inputs = TakeUpInputs { learned: source, took_ms, view_age, observed_ms };
+    log_taken_up(call, &verdict, inputs);
     let LookupVerdict::Began(origin) = verdict else {
         return Err(Refusal::retry_after(RefusalCause::StreamUnknown, UNKNOWN_RETRY_MS));
     };
@@ -202,17 +205,23 @@
     Ok(Some(TakenUpStream { key, origin }))
 }
 
-fn log_taken_up(
-    call: &RoutedCall,
-    verdict: &LookupVerdict,
-    source: OriginSource,
+/// What a verdict on a stream that is taken up followed from, for the log.
+#[derive(Clone, Copy, Debug)]
+struct TakeUpInputs {
+    learned: OriginSource,
+    /// Time in milliseconds that the lookup took.
     took_ms: Millis,
+    /// Age in milliseconds of this router's view of the targets.
     view_age: Option<Millis>,
-) {
+    /// Time in milliseconds for which that view has been current.
+    observed_ms: Millis,
+}
+
+fn log_taken_up(call: &RoutedCall, verdict: &LookupVerdict, inputs: TakeUpInputs) {
     let request = call.id();
     let resumed = call.received.metadata.resumed_id.as_deref();
     let service = &call.service;
-    let learned = source;
+    let TakeUpInputs { learned, took_ms, view_age, observed_ms } = inputs;
     match verdict {
         LookupVerdict::Began(StreamOrigin { version, .. }) => tracing::info!(
             unit = "streams",
@@ -223,6 +232,8 @@
             %version,
             ?learned,
             took_ms,
+            view_age,
+            observed_ms,
         ),
         LookupVerdict::Unknown => tracing::info!(
             unit = "streams",
@@ -233,6 +244,7 @@
             ?learned,
             took_ms,
             view_age,
+            observed_ms,
         ),
     }
 }
--- a/crates/resume/src/history.rs
+++ b/crates/resume/src/history.rs
@@ -97,9 +97,14 @@
         }
     }
 
+    /// Returns for how many milliseconds the view of the targets has been current.
+    pub(crate) fn observed_ms(&self, now: Millis) -> Millis {
+        self.observed_since.map_or(0, |since| now.saturating_sub(since))
+    }
+
     /// Returns what this router has seen, for a peer.
     pub(crate) fn notice(&self, now: Millis) -> VersionNotice {
-        let observed_ms = self.observed_since.map_or(0, |since| now.saturating_sub(since));
+        let observed_ms = self.observed_ms(now);
         let spans = self.services.iter().flat_map(|(service, versions)| {
             versions.iter().map(move |(version, span)| (service, version, span))
         });
--- a/crates/resume/src/policy.rs
+++ b/crates/resume/src/policy.rs
@@ -155,6 +155,12 @@
         })
     }
 
+    /// Returns for how many milliseconds the view of the targets has been current, of this
+    /// router or of a peer before it.
+    pub fn observed_ms(&self, now: Millis) -> Millis {
+        self.history.observed_ms(now)
+    }
+
     /// Returns the number of streams that are remembered.
     pub fn record_count(&self) -> usize {
         self.records.len()
