fix: only holders that have observed the targets for long enough are evidence of one version (ORDER)

Cause: a lookup concludes from the absence of a record that a stream began at the only version that the holders have seen. A holder that has just started has no records and has seen one version for milliseconds.

Change: such a router answers Recent, which contradicts other versions but is no evidence; most of the holders that were asked must have observed the targets for as long as a stream may be taken up. A router that starts beside others still learns of that from them.

The unit test of answers without a record now lets its router observe the targets, as it relied on the fault.

--- a/crates/resume/src/history.rs
+++ b/crates/resume/src/history.rs
@@ -39,6 +39,8 @@
     services: BTreeMap<Name, BTreeMap<Name, VersionSpan>>,
     /// Since when the view of the targets has been current.
     observed_since: Option<Millis>,
+    /// When the view of the targets was first current. Never earlier than the configuration.
+    known_since: Option<Millis>,
     /// Time in milliseconds for which a version matters after its last target was removed.
     window: Millis,
 }
@@ -92,6 +94,9 @@
     ) {
         if view_age.is_some_and(|age| age <= settings.fresh_ms) {
             self.observed_since.get_or_insert(now);
+            if self.window > 0 {
+                self.known_since.get_or_insert(now);
+            }
         } else {
             self.observed_since = None;
         }
@@ -137,9 +142,23 @@
         now: Millis,
     ) -> bool {
         let is_fresh = view_age.is_some_and(|age| age <= settings.fresh_ms);
-        let is_observed =
-            self.observed_since.is_some_and(|since| now.saturating_sub(since) >= self.window);
-        !is_fresh || !is_observed || self.recent(service, now).count() != 1
+        !is_fresh || !self.is_observed(now) || self.recent(service, now).count() != 1
+    }
+
+    /// Whether the view of the targets, of this router or of a peer before it, has been current
+    /// for as long as a stream may last: no version is missing that a stream may have begun at.
+    pub(crate) fn is_observed(&self, now: Millis) -> bool {
+        self.covers_window(self.observed_since, now)
+    }
+
+    /// Whether this router has run for as long as a stream may last. Its view of the targets may
+    /// have been old meanwhile.
+    pub(crate) fn is_settled(&self, now: Millis) -> bool {
+        self.covers_window(self.known_since, now)
+    }
+
+    fn covers_window(&self, since: Option<Millis>, now: Millis) -> bool {
+        self.window > 0 && since.is_some_and(|since| now.saturating_sub(since) >= self.window)
     }
 
     /// Returns the version at which all streams of a service began, as far as this router has
--- a/crates/resume/src/lib.rs
+++ b/crates/resume/src/lib.rs
@@ -10,12 +10,14 @@
 //! stream's id and spread over the failure domains, which version began it. An instance at which
 //! a stream is taken up asks them. What nobody knows is refused.
 //!
-//! Two rules make "the same version" a fact, although instances learn of targets at different
-//! times:
+//! Three rules make "the same version" a fact, although instances learn of targets at different
+//! times, and start again:
 //!
 //! - streams begin at a new version only once it has been known for `settle_ms`;
 //! - an instance relies on having seen one version only if its view of the targets is at most
-//!   `fresh_ms` old, which is less.
+//!   `fresh_ms` old, which is less;
+//! - the absence of a record counts only at an instance that has observed the targets for as long
+//!   as a stream may be taken up.
 //!
 //! Does no I/O.
 
--- a/crates/resume/src/lookup.rs
+++ b/crates/resume/src/lookup.rs
@@ -16,6 +16,11 @@
         is_fresh: bool,
     },
     Unknown,
+    /// Like `Sole`, but the router has not seen the targets for as long as a stream may last:
+    /// the stream may have begun at a version that was gone before that.
+    Recent {
+        version: Name,
+    },
 }
 
 /// Result of a lookup.
@@ -51,20 +56,40 @@
         (self.answers.len() >= self.asked).then(|| self.conclude())
     }
 
-    /// Returns the verdict when no further answers are awaited. If most holders have answered,
-    /// and they and this router have seen a single version, the stream began there: had it
-    /// begun at another one, it would have been recorded.
+    /// Returns the verdict when no further answers are awaited. If most holders have seen a
+    /// single version for as long as a stream may last, and nobody has seen another one, the
+    /// stream began there: had it begun at another one, it would have been recorded.
     pub fn conclude(&self) -> LookupVerdict {
-        let HolderAnswer::Sole { version, .. } = &self.own else { return LookupVerdict::Unknown };
-        let mut all = self.answers.iter().chain([&self.own]);
-        let is_sole = |answer: &HolderAnswer| matches!(answer, HolderAnswer::Sole { version: other, .. } if other == version);
+        let all = || self.answers.iter().chain([&self.own]);
+        let Some(version) = all().find_map(HolderAnswer::sole_version) else {
+            return LookupVerdict::Unknown;
+        };
         let is_fresh =
             |answer: &HolderAnswer| matches!(answer, HolderAnswer::Sole { is_fresh: true, .. });
-        let is_most = self.asked == 0 || self.answers.len() * 2 > self.asked;
-        if is_most && all.clone().all(is_sole) && all.any(is_fresh) {
+        let witnesses = self.answers.iter().filter_map(HolderAnswer::sole_version).count();
+        let is_most = self.asked == 0 || witnesses * 2 > self.asked;
+        if is_most && all().all(|answer| answer.names(version)) && all().any(is_fresh) {
             let (service, version) = (Name::clone(&self.service), Name::clone(version));
             return LookupVerdict::Began(StreamOrigin { service, version });
         }
         LookupVerdict::Unknown
     }
 }
+
+impl HolderAnswer {
+    /// Returns the version at which every stream of the service began.
+    fn sole_version(&self) -> Option<&Name> {
+        match self {
+            Self::Sole { version, .. } => Some(version),
+            Self::Began(_) | Self::Unknown | Self::Recent { .. } => None,
+        }
+    }
+
+    /// Whether `version` is the only one that the router has seen.
+    fn names(&self, version: &Name) -> bool {
+        match self {
+            Self::Sole { version: seen, .. } | Self::Recent { version: seen } => seen == version,
+            Self::Began(_) | Self::Unknown => false,
+        }
+    }
+}
--- a/crates/resume/src/policy.rs
+++ b/crates/resume/src/policy.rs
@@ -147,12 +147,18 @@
             Some(KnownOrigin::Ambiguous) => return HolderAnswer::Unknown,
             Some(KnownOrigin::Unknown) | None => {}
         }
+        let Some(version) = self.history.sole_version(service, &self.settings, now) else {
+            return HolderAnswer::Unknown;
+        };
+        let version = Name::clone(version);
+        // Streams that began while the view was old were told to their holders, who know them
+        // only by their ids.
+        let is_observed = self.history.is_observed(now);
+        if !is_observed && (key.is_some() || !self.history.is_settled(now)) {
+            return HolderAnswer::Recent { version };
+        }
         let is_fresh = view_age.is_some_and(|age| age <= self.settings.fresh_ms);
-        let sole = self.history.sole_version(service, &self.settings, now);
-        sole.map_or(HolderAnswer::Unknown, |version| HolderAnswer::Sole {
-            version: Name::clone(version),
-            is_fresh,
-        })
+        HolderAnswer::Sole { version, is_fresh }
     }
 
     /// Returns for how many milliseconds the view of the targets has been current, of this
--- a/crates/resume/tests/fleet.rs
+++ b/crates/resume/tests/fleet.rs
@@ -22,7 +22,12 @@
 /// When targets of the new version are first published, and the last ones of the old are removed.
 const NEW_AT: u64 = 20_000;
 const OLD_GONE_AT: u64 = 45_000;
+const RELEASE: Timeline = Timeline { new_at: NEW_AT, old_gone_at: OLD_GONE_AT };
+/// All targets have the same version.
+const ONE_VERSION: Timeline = Timeline { new_at: u64::MAX, old_gone_at: u64::MAX };
 const END: u64 = 60_000;
+/// Largest time after which a caller that was refused, or reached no router, comes back.
+const RETURN_MS: u64 = 800;
 /// Time for which a fault lasts, and within which the streams of killed routers are taken up.
 const FAULT_MS: u64 = 8_000;
 const KILL_MS: u64 = 400;
@@ -34,6 +39,13 @@
 /// Numbers of routers and of failure domains.
 const FLEETS: [(usize, usize); 4] = [(6, 3), (9, 3), (90, 3), (295, 5)];
 
+/// When the versions of the targets change.
+#[derive(Clone, Copy, Debug)]
+struct Timeline {
+    new_at: u64,
+    old_gone_at: u64,
+}
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Fault {
     None,
@@ -78,12 +90,21 @@
     during_fault: u64,
     during_fault_refused: u64,
     mixed: u64,
+    /// Attempts to take up streams that began before the fault, after it.
+    lost: u64,
+    lost_refused: u64,
+    /// Attempts to take up streams that began after the fault, at routers in touch.
+    later: u64,
+    later_refused: u64,
     told: u64,
     asked: u64,
 }
 
 struct Simulation {
     routers: Vec<Router>,
+    timeline: Timeline,
+    /// Whether callers come back until their stream goes on or their time is over.
+    are_callers_patient: bool,
     fault: Fault,
     fault_at: u64,
     now: u64,
@@ -94,20 +115,24 @@
     truth: BTreeMap<StreamKey, Name>,
 }
 
-/// What is published at a time.
-fn published(at: u64) -> Vec<Name> {
-    let mut versions = Vec::new();
-    if at < OLD_GONE_AT {
-        versions.push("v1".into());
+impl Timeline {
+    /// Returns what is published at a time.
+    fn published(self, at: u64) -> Vec<Name> {
+        let mut versions = Vec::new();
+        if at < self.old_gone_at {
+            versions.push("v1".into());
+        }
+        if at >= self.new_at {
+            versions.push("v2".into());
+        }
+        versions
     }
-    if at >= NEW_AT {
-        versions.push("v2".into());
+
+    fn changes(self) -> [u64; 3] {
+        [0, self.new_at, self.old_gone_at]
     }
-    versions
 }
 
-const CHANGES: [u64; 3] = [0, NEW_AT, OLD_GONE_AT];
-
 fn address(router: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, (router / 250) as u8, (router % 250) as u8 + 1], 7_400))
 }
@@ -131,6 +156,8 @@
         });
         let mut simulation = Self {
             routers: routers.collect(),
+            timeline: RELEASE,
+            are_callers_patient: false,
             fault,
             fault_at,
             now: 0,
@@ -230,12 +257,13 @@
             if self.routers[index].known_changes == 0 && self.now > MAX_LAG_MS {
                 self.ask_peers(index);
             }
+            let changes = self.timeline.changes();
             let router = &mut self.routers[index];
             let seen_at = self.now.saturating_sub(router.lag_ms);
-            let known = CHANGES.iter().filter(|at| **at <= seen_at).count();
+            let known = changes.iter().filter(|at| **at <= seen_at).count();
             if known > router.known_changes {
                 router.known_changes = known;
-                let versions = published(CHANGES[known - 1]);
+                let versions = self.timeline.published(changes[known - 1]);
                 let targets = versions.into_iter().map(|version| (SERVICE.into(), version));
                 router.policy.update_versions(targets, router.confirmed_at, self.now);
             }
@@ -262,7 +290,7 @@
     /// Returns the version at which a router begins a stream.
     fn select_version(&mut self, router: usize) -> Option<Name> {
         let known = self.routers[router].known_changes.checked_sub(1)?;
-        let versions = published(CHANGES[known]);
+        let versions = self.timeline.published(self.timeline.changes()[known]);
         let unsettled = self.routers[router].policy.unsettled_versions(SERVICE, self.now);
         let settled = versions.iter().filter(|version| !unsettled.contains(version)).cloned();
         let mut usable: Vec<Name> = settled.collect();
@@ -326,10 +354,11 @@
         }
     }
 
-    fn take_up(&mut self, stream: &Stream) {
+    /// Takes a stream up at some router. Returns whether it goes on.
+    fn take_up(&mut self, stream: &Stream) -> bool {
         let router = self.draw(self.routers.len() as u64) as usize;
         if !self.is_alive(router) {
-            return;
+            return false;
         }
         self.counts.taken_up += 1;
         let key = stream.record.key;
@@ -344,13 +373,20 @@
         self.counts.during_fault += u64::from(is_in_touch && is_during);
         self.counts.during_fault_refused +=
             u64::from(is_in_touch && is_during && version.is_none());
-        let Some(version) = version else { return };
+        let is_lost = stream.began_at < self.fault_at && self.now >= self.fault_at;
+        let is_later = stream.began_at >= self.fault_at && is_in_touch;
+        self.counts.lost += u64::from(is_lost);
+        self.counts.lost_refused += u64::from(is_lost && version.is_none());
+        self.counts.later += u64::from(is_later);
+        self.counts.later_refused += u64::from(is_later && version.is_none());
+        let Some(version) = version else { return false };
         if version != self.truth[&key] {
             self.counts.mixed += 1;
-            return;
+            return true;
         }
         let origin = StreamOrigin { service: SERVICE.into(), version };
         self.pass_first_event(router, StreamRecord { key, origin });
+        true
     }
 
     fn strike(&mut self) {
@@ -401,7 +437,12 @@
             let (due, later) = broken.into_iter().partition(|(at, _)| *at <= now);
             broken = later;
             let due: Vec<(u64, Stream)> = due;
-            due.iter().for_each(|(_, stream)| self.take_up(stream));
+            for (_, stream) in due {
+                let goes_on = self.take_up(&stream);
+                if !goes_on && self.are_callers_patient && now < stream.began_at + LONGEST_MS {
+                    broken.push((now + RETURN_MS / 2 + self.draw(RETURN_MS / 2), stream));
+                }
+            }
         }
         self.counts
     }
@@ -439,6 +480,48 @@
     }
 }
 
+/// Guards against streams that hold events of two versions (ORDER): all routers are killed, and
+/// those that have just started cannot know which versions were there before.
+#[test]
+fn no_stream_goes_on_at_another_version_after_the_loss_of_all_routers() {
+    for (routers, domains) in FLEETS {
+        // Just before and after the last target of the old version is gone, and later.
+        for fault_at in [44_400, 45_200, 46_000, 48_000, 53_000] {
+            let counts = lose_all(routers, domains, RELEASE, fault_at);
+            assert_eq!(counts.mixed, 0, "{routers} routers, lost at {fault_at}: {counts:?}");
+            assert!(counts.lost > 20, "{routers} routers, lost at {fault_at}: {counts:?}");
+        }
+    }
+}
+
+/// Guards against streams that do not go on (LOST) although they began after the loss of all
+/// routers: they are recorded from the start. What began before can't be told from streams at a
+/// version that is gone, and is refused.
+#[test]
+fn streams_that_begin_after_the_loss_of_all_routers_go_on() {
+    for (routers, domains) in FLEETS {
+        for (timeline, fault_at) in [(ONE_VERSION, 30_000), (RELEASE, 30_000), (RELEASE, 45_200)] {
+            let counts = lose_all(routers, domains, timeline, fault_at);
+            let Counts { lost, lost_refused, later, later_refused, .. } = counts;
+            let refused = later_refused as f64 / later as f64;
+            println!(
+                "{routers} routers, {timeline:?}, lost at {fault_at}: {lost_refused} of {lost} \
+                 attempts refused for streams that began before, {refused:.3} of {later} for later ones"
+            );
+            assert!(later > 50, "{routers} routers, {timeline:?}: {counts:?}");
+            assert!(refused <= MAX_REFUSED, "{routers} routers, {timeline:?}: {refused:.3}");
+        }
+    }
+}
+
+/// Plays the loss of all routers, with callers that come back until their time is over.
+fn lose_all(routers: usize, domains: usize, timeline: Timeline, fault_at: u64) -> Counts {
+    let all = Fault::Killed(100);
+    let simulation = Simulation::new(routers, domains, all, fault_at, fault_at);
+    let simulation = Simulation { timeline, are_callers_patient: true, ..simulation };
+    simulation.run(streams_per_step(routers))
+}
+
 /// Returns the shares refused of the streams that are taken up at routers in touch: in all, and
 /// while the fault lasts.
 fn refused_shares(routers: usize, domains: usize, fault: Fault) -> (f64, f64) {
@@ -471,6 +554,22 @@
     }
 }
 
+/// The same while all targets have one version.
+#[test]
+fn most_streams_go_on_beside_one_version() {
+    for (routers, domains) in FLEETS {
+        for fault in all_faults() {
+            let simulation = Simulation::new(routers, domains, fault, 30_000, 7);
+            let simulation = Simulation { timeline: ONE_VERSION, ..simulation };
+            let counts = simulation.run(streams_per_step(routers));
+            let Counts { in_touch, in_touch_refused, .. } = counts;
+            let refused = in_touch_refused as f64 / in_touch as f64;
+            println!("{routers} routers, {fault:?}: {refused:.3} of {in_touch} refused");
+            assert!(refused < 0.25, "{routers} routers, {fault:?}: {counts:?}");
+        }
+    }
+}
+
 /// Guards against streams that do not go on (LOST) while halves of the fleet do not hear each
 /// other, and callers come back to either half.
 #[test]
@@ -506,7 +605,11 @@
 fn answers_without_a_record_say_how_current_they_are() {
     let mut policy = new_policy(0);
     policy.update_versions([(SERVICE.into(), "v1".into())].into_iter(), None, 0);
+    policy.refresh(Some(0), 0);
     let key = StreamKey::new(None, "r-1");
+    let window = LONGEST_MS + ResumeSettings::default().return_ms;
+    let answer = policy.answer(Some(key), SERVICE, Some(0), window - 1);
+    assert_eq!(answer, HolderAnswer::Recent { version: "v1".into() });
     for (view_age, is_fresh) in [(Some(500), true), (Some(2_500), false), (None, false)] {
         let answer = policy.answer(Some(key), SERVICE, view_age, 20_000);
         assert_eq!(answer, HolderAnswer::Sole { version: "v1".into(), is_fresh });
--- a/crates/resume/tests/policy_machine.rs
+++ b/crates/resume/tests/policy_machine.rs
@@ -133,9 +133,13 @@
 struct Begun {
     version: Name,
     at: u64,
+    router: usize,
+    /// It began at a router whose view was old, perhaps at a version that was gone, and its holder
+    /// was not told.
+    is_unheard: bool,
     /// Whether routers may mistake it: it began at a version that some of them may not know, as
-    /// there was no other; its id was used before, and its holder was not told; or a router that
-    /// knew of it has started again.
+    /// there was no other; its id was used before, and its holder was not told; or it was unheard
+    /// and its router has started again.
     may_be_mistaken: bool,
 }
 
@@ -164,7 +168,9 @@
         }
         let earlier = self.began.entry(id).or_default();
         let may_be_mistaken = is_new || !is_told && !earlier.is_empty();
-        earlier.push(Begun { version, at: now, may_be_mistaken });
+        let is_fresh = view_age.is_some_and(|age| age <= ResumeSettings::default().fresh_ms);
+        let is_unheard = !is_fresh && !is_told;
+        earlier.push(Begun { version, at: now, router, is_unheard, may_be_mistaken });
     }
 
     fn take_up(&mut self, oracle: &Oracle, router: usize, id: u8, answers: bool) {
@@ -233,7 +239,8 @@
                     machine.routers[router].policy.merge_versions(notice, now);
                 }
                 let all = machine.began.values_mut().flatten();
-                all.for_each(|begun| begun.may_be_mistaken = true);
+                let unheard = all.filter(|begun| begun.is_unheard && begun.router == router);
+                unheard.for_each(|begun| begun.may_be_mistaken = true);
             }
             Transition::Begin { router, version, id, is_told } => {
                 machine.begin(oracle, router, version, id, is_told);
