fix: what peers have observed of versions counts at a router that starts, with what they still see (ORDER, LOST)

- VersionNotice named only versions that are gone.
A router that starts as the last target of v1 leaves knows v2 alone; a peer that has not heard of the removal says that it has observed the targets for an hour and that nothing is gone.
Streams of v1 would go on at v2.
The notice now names what the peer still sees as well ('goes on at v1.1', began at v2; Recent for Unknown).
- The time that a peer has observed was subtracted from a clock that begins with the process, so it never counted, nor did it count if the peer responded before the source.
Restarted routers were no evidence for as long as a stream may last (Ask for Began).
That also hid the first fault in the product: it could not strike while nothing was taken over.

--- a/crates/resume/src/history.rs
+++ b/crates/resume/src/history.rs
@@ -7,6 +7,21 @@
 
 use crate::settings::ResumeSettings;
 
+/// A point in time like [`Millis`] that may lie before the start of this process.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct SignedMillis(i64);
+
+impl SignedMillis {
+    /// Returns the time `age` milliseconds before `now`.
+    fn before(now: Millis, age: Millis) -> Self {
+        Self(now.cast_signed().saturating_sub_unsigned(age))
+    }
+
+    fn age(self, now: Millis) -> Millis {
+        now.saturating_sub_signed(self.0)
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct VersionSpan {
     first_seen: Millis,
@@ -16,12 +31,12 @@
     gone_at: Option<Millis>,
 }
 
-/// A version whose last target was removed lately.
+/// A version that has targets, or whose last target was removed lately.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-struct GoneVersion {
+struct SeenVersion {
     service: Name,
     version: Name,
-    /// Milliseconds since then.
+    /// Milliseconds since its last target was removed; 0 while it has one.
     age: Millis,
 }
 
@@ -30,17 +45,20 @@
 pub struct VersionNotice {
     /// Time in milliseconds for which the sender has seen the targets.
     observed_ms: Millis,
-    gone: Vec<GoneVersion>,
+    /// With those that have targets: the receiver may know already that they have none.
+    seen: Vec<SeenVersion>,
 }
 
 /// Versions that targets have or had lately.
 #[derive(Debug, Default)]
 pub struct VersionHistory {
     services: BTreeMap<Name, BTreeMap<Name, VersionSpan>>,
-    /// Since when the view of the targets has been current.
-    observed_since: Option<Millis>,
+    /// Since when the view of the targets has been current, of this router or of a peer before.
+    observed_since: Option<SignedMillis>,
     /// When the view of the targets was first current. Never earlier than the configuration.
     known_since: Option<Millis>,
+    /// Since when a peer has observed the targets, and when it said so.
+    peer_observed: Option<(SignedMillis, Millis)>,
     /// Time in milliseconds for which a version matters after its last target was removed.
     window: Millis,
 }
@@ -93,7 +111,8 @@
         now: Millis,
     ) {
         if view_age.is_some_and(|age| age <= settings.fresh_ms) {
-            self.observed_since.get_or_insert(now);
+            let since = self.peer_observed_since(settings, now);
+            self.observed_since.get_or_insert(since);
             if self.window > 0 {
                 self.known_since.get_or_insert(now);
             }
@@ -104,7 +123,7 @@
 
     /// Returns for how many milliseconds the view of the targets has been current.
     pub(crate) fn observed_ms(&self, now: Millis) -> Millis {
-        self.observed_since.map_or(0, |since| now.saturating_sub(since))
+        self.observed_since.map_or(0, |since| since.age(now))
     }
 
     /// Returns what this router has seen, for a peer.
@@ -113,18 +132,21 @@
         let spans = self.services.iter().flat_map(|(service, versions)| {
             versions.iter().map(move |(version, span)| (service, version, span))
         });
-        let gone = spans.filter_map(|(service, version, span)| {
-            let age = now.saturating_sub(span.gone_at?);
-            Some(GoneVersion { service: Name::clone(service), version: Name::clone(version), age })
+        let seen = spans.map(|(service, version, span)| SeenVersion {
+            service: Name::clone(service),
+            version: Name::clone(version),
+            age: span.gone_at.map_or(0, |at| now.saturating_sub(at)),
         });
-        VersionNotice { observed_ms, gone: gone.collect() }
+        VersionNotice { observed_ms, seen: seen.collect() }
     }
 
-    /// Takes over what a peer has seen before this router started.
+    /// Takes over what a peer has seen before this router started. A version that the peer
+    /// still sees, and this router does not, counts as gone from now on.
     pub(crate) fn merge(&mut self, notice: VersionNotice, now: Millis) {
-        let since = now.saturating_sub(notice.observed_ms);
+        let since = SignedMillis::before(now, notice.observed_ms);
+        self.peer_observed = Some((since, now));
         self.observed_since = self.observed_since.map(|own| own.min(since));
-        for GoneVersion { service, version, age } in notice.gone {
+        for SeenVersion { service, version, age } in notice.seen {
             let gone_at = now.saturating_sub(age);
             let span = VersionSpan { first_seen: gone_at, unseen_at: 0, gone_at: Some(gone_at) };
             let known = self.services.entry(service).or_default().entry(version).or_insert(span);
@@ -132,6 +154,13 @@
         }
     }
 
+    /// Returns since when the targets have been observed, by a peer until `fresh_ms` ago and by
+    /// this router from now on. No version is used that came after the peer's notice.
+    fn peer_observed_since(&self, settings: &ResumeSettings, now: Millis) -> SignedMillis {
+        let noticed = self.peer_observed.filter(|(_, at)| now - at <= settings.fresh_ms);
+        noticed.map_or(SignedMillis::before(now, 0), |(since, _)| since)
+    }
+
     /// Whether streams of a service may have begun at more than one version, or this router
     /// does not know: its view of the targets is `view_age` old, or it has just started.
     pub(crate) fn is_uncertain(
@@ -148,17 +177,13 @@
     /// Whether the view of the targets, of this router or of a peer before it, has been current
     /// for as long as a stream may last: no version is missing that a stream may have begun at.
     pub(crate) fn is_observed(&self, now: Millis) -> bool {
-        self.covers_window(self.observed_since, now)
+        self.window > 0 && self.observed_since.is_some_and(|since| since.age(now) >= self.window)
     }
 
     /// Whether this router has run for as long as a stream may last. Its view of the targets may
     /// have been old meanwhile.
     pub(crate) fn is_settled(&self, now: Millis) -> bool {
-        self.covers_window(self.known_since, now)
-    }
-
-    fn covers_window(&self, since: Option<Millis>, now: Millis) -> bool {
-        self.window > 0 && since.is_some_and(|since| now.saturating_sub(since) >= self.window)
+        self.window > 0 && self.known_since.is_some_and(|since| now - since >= self.window)
     }
 
     /// Returns the version at which all streams of a service began, as far as this router has
--- a/crates/resume/tests/policy.rs
+++ b/crates/resume/tests/policy.rs
@@ -5,8 +5,8 @@
 
 use base::Name;
 use resume::{
-    HolderPeer, ResumeDecision, ResumePolicy, ResumeSettings, StreamKey, StreamOrigin,
-    StreamRecord, choose_holders,
+    HolderAnswer, HolderPeer, ResumeDecision, ResumePolicy, ResumeSettings, StreamKey,
+    StreamOrigin, StreamRecord, choose_holders,
 };
 
 const SERVICE: &str = "model";
@@ -46,6 +46,43 @@
     assert_eq!(decide(&policy, "r-1", age + 1, LATER), ResumeDecision::Ask(Vec::new()));
 }
 
+/// Guards against streams that go on at a version that is new (ORDER): the router started when
+/// the last target of the other one had left, and its peers had not heard of that.
+#[test]
+fn version_that_a_peer_still_sees_counts_at_a_router_that_starts() {
+    let peer = settled_policy();
+    let mut policy = ResumePolicy::new(ResumeSettings::default());
+    policy.set_longest_stream(LONGEST_MS);
+    policy.update_versions([(SERVICE.into(), "v2".into())].into_iter(), None, 0);
+    policy.refresh(Some(0), 0);
+    policy.merge_versions(peer.version_notice(LATER), 10);
+    assert_eq!(decide(&policy, "r-1", 0, 10), ResumeDecision::Ask(Vec::new()));
+    let answer = policy.answer(None, SERVICE, Some(0), 10);
+    assert_eq!(answer, HolderAnswer::Unknown);
+}
+
+/// Guards against streams that do not go on (LOST): a router that starts asks its peers before
+/// the source has responded to it, and relies on what they have observed.
+#[test]
+fn what_peers_observed_counts_whether_the_source_or_they_respond_first() {
+    let peer = settled_policy();
+    let versions = || [(Name::from(SERVICE), Name::from("v1"))].into_iter();
+    for is_peer_first in [true, false] {
+        let mut policy = ResumePolicy::new(ResumeSettings::default());
+        policy.set_longest_stream(LONGEST_MS);
+        if is_peer_first {
+            policy.merge_versions(peer.version_notice(LATER), 0);
+        }
+        policy.update_versions(versions(), None, 10);
+        policy.refresh(Some(0), 10);
+        if !is_peer_first {
+            policy.merge_versions(peer.version_notice(LATER), 20);
+        }
+        let decision = decide(&policy, "r-1", 0, 30);
+        assert_eq!(decision, ResumeDecision::Began(origin("v1")), "peer first: {is_peer_first}");
+    }
+}
+
 /// Guards against streams at a version that other routers do not know yet.
 #[test]
 fn streams_begin_at_a_new_version_once_all_know_it() {
--- a/crates/resume/tests/policy_machine.rs
+++ b/crates/resume/tests/policy_machine.rs
@@ -19,6 +19,9 @@
 const LONGEST_MS: u64 = 4_000;
 /// Longest time in milliseconds between two steps.
 const MAX_STEP_MS: u64 = 1_500;
+/// A calm span in milliseconds, longer than a stream may be taken up, and the time between reads.
+const CALM_MS: u64 = 10_000;
+const READ_PERIOD_MS: u64 = 500;
 const MAX_RECORDS: usize = 24;
 const ROUTERS: usize = 2;
 
@@ -27,6 +30,8 @@
     Advance {
         ms: u64,
     },
+    /// Time passes in which all routers read again and again.
+    Calm,
     /// The targets that are published change.
     Publish {
         versions: [bool; 3],
@@ -40,6 +45,10 @@
         router: usize,
         learns: bool,
     },
+    /// A router asks the other one what it has seen.
+    Learn {
+        router: usize,
+    },
     /// A stream begins; its id may have been used before, by the same account.
     Begin {
         router: usize,
@@ -74,10 +83,12 @@
         let versions = prop::array::uniform3(any::<bool>());
         prop_oneof![
             8 => (1..MAX_STEP_MS).prop_map(|ms| Transition::Advance { ms }),
+            1 => Just(Transition::Calm),
             2 => versions.prop_map(|versions| Transition::Publish { versions }),
             8 => router.clone().prop_map(|router| Transition::Read { router }),
             1 => (router.clone(), any::<bool>())
                 .prop_map(|(router, learns)| Transition::Restart { router, learns }),
+            2 => router.clone().prop_map(|router| Transition::Learn { router }),
             8 => (router.clone(), 0..VERSIONS.len(), 0u8..12, prop::bool::weighted(0.6)).prop_map(
                 |(router, version, id, is_told)| Transition::Begin { router, version, id, is_told }
             ),
@@ -90,12 +101,14 @@
     fn apply(mut oracle: Self, transition: &Transition) -> Self {
         match transition {
             Transition::Advance { ms } => oracle.now += ms,
+            Transition::Calm => oracle.now += CALM_MS,
             Transition::Publish { versions } => {
                 let published = VERSIONS.iter().zip(versions).filter(|(_, is_in)| **is_in);
                 oracle.published = published.map(|(version, _)| Name::from(*version)).collect();
             }
             Transition::Read { .. }
             | Transition::Restart { .. }
+            | Transition::Learn { .. }
             | Transition::Begin { .. }
             | Transition::TakeUp { .. } => {}
         }
@@ -148,6 +161,22 @@
 }
 
 impl Machine {
+    fn read(&mut self, oracle: &Oracle, router: usize, now: u64) {
+        let own = &mut self.routers[router];
+        own.known.clone_from(&oracle.published);
+        let targets = own.known.iter();
+        let targets = targets.map(|version| (SERVICE.into(), Name::clone(version)));
+        own.policy.update_versions(targets, own.confirmed_at, now);
+        own.confirmed_at = Some(now);
+        let newly = own.policy.refresh(own.view_age(now), now);
+        assert!(newly.len() <= 1, "one service: {newly:?}");
+    }
+
+    fn learn(&mut self, router: usize, now: u64) {
+        let notice = self.routers[1 - router].policy.version_notice(now);
+        self.routers[router].policy.merge_versions(notice, now);
+    }
+
     fn begin(&mut self, oracle: &Oracle, router: usize, version: usize, id: u8, is_told: bool) {
         let now = oracle.now;
         let own = &self.routers[router];
@@ -222,26 +251,22 @@
                     router.policy.refresh(view_age, now);
                 }
             }
-            Transition::Read { router } => {
-                let own = &mut machine.routers[router];
-                own.known.clone_from(&oracle.published);
-                let targets = own.known.iter();
-                let targets = targets.map(|version| (SERVICE.into(), Name::clone(version)));
-                own.policy.update_versions(targets, own.confirmed_at, now);
-                own.confirmed_at = Some(now);
-                let newly = own.policy.refresh(own.view_age(now), now);
-                assert!(newly.len() <= 1, "one service: {newly:?}");
+            Transition::Calm => {
+                for at in (now - CALM_MS..=now).step_by(READ_PERIOD_MS as usize) {
+                    (0..ROUTERS).for_each(|router| machine.read(oracle, router, at));
+                }
             }
+            Transition::Read { router } => machine.read(oracle, router, now),
             Transition::Restart { router, learns } => {
                 machine.routers[router] = Router::start(now);
                 if learns {
-                    let notice = machine.routers[1 - router].policy.version_notice(now);
-                    machine.routers[router].policy.merge_versions(notice, now);
+                    machine.learn(router, now);
                 }
                 let all = machine.began.values_mut().flatten();
                 let unheard = all.filter(|begun| begun.is_unheard && begun.router == router);
                 unheard.for_each(|begun| begun.may_be_mistaken = true);
             }
+            Transition::Learn { router } => machine.learn(router, now),
             Transition::Begin { router, version, id, is_told } => {
                 machine.begin(oracle, router, version, id, is_told);
             }
