fix: streams under an earlier, longer time limit are remembered until their callers are back (ORDER)

A configuration that shortened the longest time limit shortened that at once, so versions and records of streams that began under the longer one were forgotten, and such a stream went on at another version (Began(v2) for Ask in shorter_time_limit_does_not_forget_versions_of_longer_streams, which failed before). The longer window now holds for as long as it is.

--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -43,7 +43,7 @@
         let verdict = context.versions().offer(table);
         if matches!(verdict, VersionVerdict::Accepted { .. }) {
             context.shares().set_capacity(capacity);
-            context.resumes().set_longest_stream(longest_stream_ms);
+            context.resumes().set_longest_stream(longest_stream_ms, now);
             tracing::info!(
                 unit = "view",
                 event = "configuration",
--- a/crates/resume/src/history.rs
+++ b/crates/resume/src/history.rs
@@ -59,19 +59,49 @@
     known_since: Option<Millis>,
     /// Since when a peer has observed the targets, and when it said so.
     peer_observed: Option<(SignedMillis, Millis)>,
-    /// Time in milliseconds for which a version matters after its last target was removed.
-    window: Millis,
+    window: StreamWindow,
+}
+
+/// For how long a stream may be taken up after its beginning: the longest time limit, and some
+/// time for its caller to return.
+#[derive(Debug, Default)]
+struct StreamWindow {
+    /// Length in milliseconds; 0 without a configuration.
+    length: Millis,
+    /// Length under earlier configurations, whose streams may be taken up until the time that
+    /// stands beside it.
+    former: Option<(Millis, Millis)>,
+}
+
+impl StreamWindow {
+    fn set(&mut self, length: Millis, now: Millis) {
+        if length < self.length {
+            self.former = Some((self.at(now), now + self.at(now)));
+        }
+        self.length = length;
+    }
+
+    /// Returns the length in milliseconds that covers every stream.
+    fn at(&self, now: Millis) -> Millis {
+        let former = self.former.filter(|(_, until)| now < *until);
+        self.length.max(former.map_or(0, |(length, _)| length))
+    }
 }
 
 impl VersionHistory {
     /// Sets the longest time in milliseconds that a stream may last.
-    pub(crate) fn set_longest_stream(&mut self, longest: Millis, settings: &ResumeSettings) {
-        self.window = longest + settings.return_ms;
+    pub(crate) fn set_longest_stream(
+        &mut self,
+        longest: Millis,
+        settings: &ResumeSettings,
+        now: Millis,
+    ) {
+        self.window.set(longest + settings.return_ms, now);
     }
 
     /// Time in milliseconds after its beginning within which a stream may be taken up.
-    pub(crate) fn window(&self) -> Millis {
-        self.window
+    pub(crate) fn window(&self, now: Millis) -> Millis {
+        self.window.at(now)
     }
 
     /// Records the service and version of all targets that are published now. What was known
@@ -90,7 +120,7 @@
             let known = versions.entry(Name::clone(version)).or_insert(span);
             known.gone_at = None;
         }
-        let window = self.window;
+        let window = self.window.at(now);
         for (service, versions) in &mut self.services {
             for (version, span) in versions.iter_mut() {
                 if !present.contains(&(Name::clone(service), Name::clone(version))) {
@@ -113,7 +143,7 @@
         if view_age.is_some_and(|age| age <= settings.fresh_ms) {
             let since = self.peer_observed_since(settings, now);
             self.observed_since.get_or_insert(since);
-            if self.window > 0 {
+            if self.window.at(now) > 0 {
                 self.known_since.get_or_insert(now);
             }
         } else {
@@ -177,13 +207,15 @@
     /// Whether the view of the targets, of this router or of a peer before it, has been current
     /// for as long as a stream may last: no version is missing that a stream may have begun at.
     pub(crate) fn is_observed(&self, now: Millis) -> bool {
-        self.window > 0 && self.observed_since.is_some_and(|since| since.age(now) >= self.window)
+        let window = self.window.at(now);
+        window > 0 && self.observed_since.is_some_and(|since| since.age(now) >= window)
     }
 
     /// Whether this router has run for as long as a stream may last. Its view of the targets may
     /// have been old meanwhile.
     pub(crate) fn is_settled(&self, now: Millis) -> bool {
-        self.window > 0 && self.known_since.is_some_and(|since| now - since >= self.window)
+        let window = self.window.at(now);
+        window > 0 && self.known_since.is_some_and(|since| now - since >= window)
     }
 
     /// Returns the version at which all streams of a service began, as far as this router has
@@ -221,7 +253,8 @@
 
     fn recent(&self, service: &str, now: Millis) -> impl Iterator<Item = (&Name, &VersionSpan)> {
         let versions = self.services.get(service).into_iter().flatten();
-        versions.filter(move |(_, span)| span.is_recent(self.window, now))
+        let window = self.window.at(now);
+        versions.filter(move |(_, span)| span.is_recent(window, now))
     }
 }
 
--- a/crates/resume/src/policy.rs
+++ b/crates/resume/src/policy.rs
@@ -40,8 +40,8 @@
     }
 
     /// Sets the longest time in milliseconds that a stream may last by the configuration.
-    pub fn set_longest_stream(&mut self, longest: Millis) {
-        self.history.set_longest_stream(longest, &self.settings);
+    pub fn set_longest_stream(&mut self, longest: Millis, now: Millis) {
+        self.history.set_longest_stream(longest, &self.settings, now);
     }
 
     /// Sets the live peers, without this router.
@@ -74,7 +74,7 @@
     /// called several times a second. Returns the services whose open streams have to be told
     /// to holders now, as they were not told when they began.
     pub fn refresh(&mut self, view_age: Option<Millis>, now: Millis) -> Vec<Name> {
-        self.records.expire(self.history.window(), now);
+        self.records.expire(self.history.window(now), now);
         self.history.observe(view_age, &self.settings, now);
         let services = self.history.services();
         let is_told =
--- a/crates/resume/tests/fleet.rs
+++ b/crates/resume/tests/fleet.rs
@@ -139,7 +139,7 @@
 
 fn new_policy(now: u64) -> ResumePolicy {
     let mut policy = ResumePolicy::new(ResumeSettings::default());
-    policy.set_longest_stream(LONGEST_MS);
+    policy.set_longest_stream(LONGEST_MS, now);
     policy.update_versions(std::iter::empty(), None, now);
     policy
 }
--- a/crates/resume/tests/policy.rs
+++ b/crates/resume/tests/policy.rs
@@ -21,7 +21,7 @@
 /// Returns a policy that has seen v1 alone until [`LATER`].
 fn settled_policy() -> ResumePolicy {
     let mut policy = ResumePolicy::new(ResumeSettings::default());
-    policy.set_longest_stream(LONGEST_MS);
+    policy.set_longest_stream(LONGEST_MS, 0);
     policy.update_versions([(SERVICE.into(), "v1".into())].into_iter(), None, 0);
     policy.refresh(Some(0), 0);
     policy.refresh(Some(0), LATER);
@@ -52,7 +52,7 @@
 fn version_that_a_peer_still_sees_counts_at_a_router_that_starts() {
     let peer = settled_policy();
     let mut policy = ResumePolicy::new(ResumeSettings::default());
-    policy.set_longest_stream(LONGEST_MS);
+    policy.set_longest_stream(LONGEST_MS, 0);
     policy.update_versions([(SERVICE.into(), "v2".into())].into_iter(), None, 0);
     policy.refresh(Some(0), 0);
     policy.merge_versions(peer.version_notice(LATER), 10);
@@ -69,7 +69,7 @@
     let versions = || [(Name::from(SERVICE), Name::from("v1"))].into_iter();
     for is_peer_first in [true, false] {
         let mut policy = ResumePolicy::new(ResumeSettings::default());
-        policy.set_longest_stream(LONGEST_MS);
+        policy.set_longest_stream(LONGEST_MS, 0);
         if is_peer_first {
             policy.merge_versions(peer.version_notice(LATER), 0);
         }
@@ -83,6 +83,23 @@
     }
 }
 
+/// Guards against streams that go on at the wrong version (ORDER): they began under a longer time
+/// limit, and the configuration shortened it.
+#[test]
+fn shorter_time_limit_does_not_forget_versions_of_longer_streams() {
+    let mut policy = settled_policy();
+    policy.update_versions([(SERVICE.into(), "v2".into())].into_iter(), Some(LATER), LATER);
+    policy.set_longest_stream(1_000, LATER);
+    let last_return = LATER + LONGEST_MS + ResumeSettings::default().return_ms;
+    for now in (LATER..last_return).step_by(200) {
+        policy.refresh(Some(0), now);
+        assert_eq!(decide(&policy, "r-1", 0, now), ResumeDecision::Ask(Vec::new()), "at {now}");
+    }
+    let end = last_return + LONGEST_MS;
+    policy.refresh(Some(0), end);
+    assert_eq!(decide(&policy, "r-1", 0, end), ResumeDecision::Began(origin("v2")));
+}
+
 /// Guards against streams at a version that other routers do not know yet.
 #[test]
 fn streams_begin_at_a_new_version_once_all_know_it() {
@@ -119,7 +136,7 @@
 fn records_are_bounded_and_expire() {
     let settings = ResumeSettings { max_records: 100, ..ResumeSettings::default() };
     let mut policy = ResumePolicy::new(settings);
-    policy.set_longest_stream(LONGEST_MS);
+    policy.set_longest_stream(LONGEST_MS, 0);
     for number in 0..1_000 {
         let key = StreamKey::new(None, &format!("r-{}", number % 300));
         policy.record(&StreamRecord { key, origin: origin("v1") }, number);
--- a/crates/resume/tests/policy_machine.rs
+++ b/crates/resume/tests/policy_machine.rs
@@ -126,7 +126,7 @@
     fn start(now: u64) -> Self {
         let settings = ResumeSettings { max_records: MAX_RECORDS, ..ResumeSettings::default() };
         let mut policy = ResumePolicy::new(settings);
-        policy.set_longest_stream(LONGEST_MS);
+        policy.set_longest_stream(LONGEST_MS, now);
         policy.update_versions(std::iter::empty(), None, now);
         Self { policy, known: Vec::new(), confirmed_at: None }
     }
