--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -105,6 +105,15 @@
     let notice_period = Duration::from_secs_f64(serve::ADDRESS_LEASE_S * USABLE_LEASES);
     while start.elapsed() < deadline {
         if start.elapsed() >= notice_period {
+            if !context.is_closed() {
+                let after_ms = start.elapsed().as_millis() as u64;
+                tracing::info!(
+                    unit = "run",
+                    event = "closed",
+                    after_ms,
+                    open = context.open_calls()
+                );
+            }
             context.close();
             if context.open_calls() == 0 {
                 break;
