--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -6,6 +6,7 @@
 mod memory;
 mod retries;
 mod shares;
+mod stop;
 mod window;
 
 pub use accept::{AcceptPolicy, AcceptSettings};
@@ -13,4 +14,5 @@
 pub use memory::{HoldKey, MemoryBudget, MemoryRefusal, MemorySettings};
 pub use retries::{RetryBudget, RetrySettings};
 pub use shares::{AccountDemand, AccountShares, ShareSettings, ShareVerdict, water_level};
+pub use stop::{StopPlan, StopSettings};
 pub use window::RateWindow;
--- /dev/null
+++ b/crates/admit/src/stop.rs
@@ -0,0 +1,65 @@
+//! Which requests a router that stops still accepts.
+//!
+//! Load pattern: callers learn late that a router stops, from address responses that they may use
+//! for a while, and keep using open connections. The thread that serves them, the timers and the
+//! signal may all be late, while the time until the process is killed is fixed.
+
+use base::Millis;
+
+/// Times of a stop, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct StopSettings {
+    /// Time after the signal for which callers may still come with a request that is cut at the
+    /// exit if it takes too long.
+    pub notice_ms: Millis,
+    /// Time between the signal and the kill of the process.
+    pub kill_ms: Millis,
+    /// The process exits this long before it would be killed.
+    pub exit_margin_ms: Millis,
+    /// Requests without a response are answered this long before the exit.
+    pub answer_margin_ms: Millis,
+}
+
+/// Times of one stop. All are counted from a time before the signal was sent, so that nothing that
+/// is late makes them later than the sender of the signal allows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StopPlan {
+    /// Until then every request is accepted.
+    accepts_until: Millis,
+    /// When requests without a response are answered. Invariant: not after `exits_at`.
+    ends_at: Millis,
+    exits_at: Millis,
+}
+
+impl StopPlan {
+    /// Creates the plan of a stop whose signal had not been sent at `unsignalled_at`.
+    pub fn new(unsignalled_at: Millis, settings: &StopSettings) -> Self {
+        let exits_at = unsignalled_at + settings.kill_ms.saturating_sub(settings.exit_margin_ms);
+        Self {
+            accepts_until: unsignalled_at + settings.notice_ms,
+            ends_at: exits_at.saturating_sub(settings.answer_margin_ms),
+            exits_at,
+        }
+    }
+
+    /// Whether a request is accepted whose last byte was read at `read_at` at the latest and that
+    /// times out at `expires_at`. After the notice it has to end before the exit.
+    pub fn accepts(&self, read_at: Millis, expires_at: Millis) -> bool {
+        read_at <= self.accepts_until || expires_at <= self.ends_at
+    }
+
+    /// Whether callers have had time to move to other routers.
+    pub fn is_notice_over(&self, now: Millis) -> bool {
+        now > self.accepts_until
+    }
+
+    /// Whether requests without a response have to be answered.
+    pub fn is_ended(&self, now: Millis) -> bool {
+        now >= self.ends_at
+    }
+
+    /// Returns the milliseconds that are left until the exit.
+    pub fn exit_in_ms(&self, now: Millis) -> Millis {
+        self.exits_at.saturating_sub(now)
+    }
+}
--- /dev/null
+++ b/crates/admit/tests/stop.rs
@@ -0,0 +1,77 @@
+//! Tests of what a stopping router accepts, beside threads, timers and signals that are late.
+
+use admit::{StopPlan, StopSettings};
+use proptest::prelude::*;
+
+const SETTINGS: StopSettings =
+    StopSettings { notice_ms: 3_000, kill_ms: 8_000, exit_margin_ms: 500, answer_margin_ms: 200 };
+/// Time between two looks at whether the signal has arrived, if nothing is late.
+const LOOK_PERIOD_MS: u64 = 50;
+/// A request that was sent no later than this after the signal may be cut.
+const EXCUSED_MS: u64 = 3_000;
+
+/// A request of a caller and how late this router reads it.
+#[derive(Clone, Debug)]
+struct Arrival {
+    /// Milliseconds between the signal and the last byte of the request.
+    sent_after: u64,
+    read_late: u64,
+    limit_ms: u64,
+}
+
+fn arrival() -> impl Strategy<Value = Arrival> {
+    let limit = prop_oneof![1u64..2_000, 2_000u64..12_000];
+    (0u64..9_000, prop_oneof![0u64..5, 0u64..900], limit)
+        .prop_map(|(sent_after, read_late, limit_ms)| Arrival { sent_after, read_late, limit_ms })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2_000, failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(48_004), ..ProptestConfig::default() })]
+
+    /// Guards against requests that are accepted and cut at the exit although they were sent after
+    /// the time for which that is excused, however late the thread, the signal or the timer is.
+    #[test]
+    fn accepted_means_excused_or_ended_before_the_exit(
+        signalled_at in 1_000u64..100_000,
+        look_late in prop_oneof![0u64..60, 0u64..2_000],
+        arrivals in prop::collection::vec(arrival(), 1..40),
+    ) {
+        let unsignalled_at = signalled_at.saturating_sub(look_late);
+        let plan = StopPlan::new(unsignalled_at, &SETTINGS);
+        let exits_at = signalled_at + plan.exit_in_ms(signalled_at);
+        prop_assert!(exits_at < signalled_at + SETTINGS.kill_ms, "killed before the exit");
+        for Arrival { sent_after, read_late, limit_ms } in arrivals {
+            let read_at = signalled_at + sent_after + read_late;
+            let expires_at = read_at + limit_ms;
+            let is_accepted = plan.accepts(read_at, expires_at);
+            let ends_in_time = expires_at < exits_at;
+            prop_assert!(!is_accepted || sent_after <= EXCUSED_MS || ends_in_time);
+            // What is refused costs callers: only what came late or may not end.
+            let is_prompt = sent_after + read_late + look_late <= EXCUSED_MS;
+            prop_assert!(is_accepted || !is_prompt, "refused after {sent_after} ms");
+            let has_time = expires_at + SETTINGS.answer_margin_ms <= exits_at;
+            prop_assert!(is_accepted || !has_time, "refused with a limit of {limit_ms} ms");
+        }
+    }
+}
+
+#[test]
+fn times_are_counted_from_before_the_signal() {
+    let plan = StopPlan::new(10_000, &SETTINGS);
+    assert!(plan.accepts(13_000, u64::MAX) && !plan.accepts(13_001, u64::MAX));
+    assert!(plan.accepts(13_001, 17_300) && !plan.accepts(13_001, 17_301));
+    assert!(!plan.is_notice_over(13_000) && plan.is_notice_over(13_001));
+    assert!(!plan.is_ended(17_299) && plan.is_ended(17_300));
+    assert_eq!((plan.exit_in_ms(17_300), plan.exit_in_ms(18_000)), (200, 0));
+    // Nothing is lost with a look that is on time.
+    assert!(plan.accepts(10_000 + EXCUSED_MS - LOOK_PERIOD_MS, u64::MAX));
+}
+
+/// A stop that leaves less time than callers may take ends all the same.
+#[test]
+fn short_stop_ends_before_the_kill() {
+    let plan = StopPlan::new(0, &StopSettings { kill_ms: 400, ..SETTINGS });
+    assert!(plan.is_ended(0));
+    assert_eq!(plan.exit_in_ms(0), 0);
+}
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -3,11 +3,11 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use admit::{
     AcceptPolicy, AcceptSettings, AccountShares, MemoryBudget, MemorySettings, RetryBudget,
-    RetrySettings, ShareSettings, ThreadLateness,
+    RetrySettings, ShareSettings, StopPlan, ThreadLateness,
 };
 use base::{Millis, MonoClock, Name, Origin, stable_hash};
 use cadence::StatsdClient;
@@ -30,6 +30,7 @@
 use crate::platform::CallFormat;
 use crate::sampling::LogSampler;
 use crate::settings::GatewaySettings;
+use crate::stop::StopWatch;
 use crate::streams::{OpenStreams, OriginExchange};
 
 /// Progress in reading the configuration source.
@@ -145,9 +146,12 @@
     pub(crate) heartbeat_now: Notify,
     /// Cancelled when the process shuts down.
     pub(crate) shutdown: CancellationToken,
-    is_draining: AtomicBool,
-    /// Whether new requests are refused, as callers have had time to move to
-    /// other routers.
+    pub(crate) stop_watch: StopWatch,
+    /// Set once the router stops.
+    stop_plan: OnceLock<StopPlan>,
+    /// Whether all new requests are refused, as the process exits. Read after a request was
+    /// counted in `open_calls`, and set before that is read: either the request is refused, or the
+    /// process does not exit.
     is_closed: AtomicBool,
     open_calls: AtomicUsize,
     /// Connections of callers that are accepted and not closed.
@@ -245,7 +249,8 @@
             refusal_log_sampler: Mutex::default(),
             heartbeat_now: Notify::new(),
             shutdown: CancellationToken::new(),
-            is_draining: AtomicBool::new(false),
+            stop_watch: StopWatch::default(),
+            stop_plan: OnceLock::new(),
             is_closed: AtomicBool::new(false),
             open_calls: AtomicUsize::new(0),
             open_connections: AtomicUsize::new(0),
@@ -349,13 +354,20 @@
     }
 
     /// Marks this router as draining and informs its peers at once.
-    pub(crate) fn start_draining(&self) {
-        self.is_draining.store(true, Ordering::Relaxed);
+    /// Begins to stop. A further call has no effect.
+    pub(crate) fn start_draining(&self, plan: StopPlan) {
+        self.stop_plan.get_or_init(|| plan);
         self.heartbeat_now.notify_one();
     }
 
     pub(crate) fn is_draining(&self) -> bool {
-        self.is_draining.load(Ordering::Relaxed)
+        self.stop_plan.get().is_some()
+    }
+
+    /// Whether a request that was read at `read_at` and times out at `expires_at` is accepted by
+    /// this router, which may be stopping.
+    pub(crate) fn accepts(&self, read_at: Millis, expires_at: Millis) -> bool {
+        self.stop_plan.get().is_none_or(|plan| plan.accepts(read_at, expires_at))
     }
 
     /// Whether responses close their connections: the router drains, or it is saturated
@@ -364,13 +376,17 @@
         self.is_draining() || self.accept_policy().has_free_others()
     }
 
-    /// Refuses new requests from now on.
-    pub(crate) fn close(&self) {
-        self.is_closed.store(true, Ordering::Relaxed);
+    /// Refuses new requests from now on if none is open. Returns whether the process may exit.
+    pub(crate) fn close_if_unused(&self) -> bool {
+        if self.open_calls() > 0 {
+            return false;
+        }
+        self.is_closed.store(true, Ordering::SeqCst);
+        self.open_calls() == 0
     }
 
     pub(crate) fn is_closed(&self) -> bool {
-        self.is_closed.load(Ordering::Relaxed)
+        self.is_closed.load(Ordering::SeqCst)
     }
 
     pub(crate) fn set_router_count(&self, routers: usize) {
@@ -390,7 +406,7 @@
     }
 
     pub(crate) fn open_calls(&self) -> usize {
-        self.open_calls.load(Ordering::Relaxed)
+        self.open_calls.load(Ordering::SeqCst)
     }
 
     pub(crate) fn open_connections(&self) -> usize {
@@ -404,14 +420,14 @@
 
 impl OpenCall {
     pub(crate) fn new(context: &Arc<GatewayContext>) -> Self {
-        context.open_calls.fetch_add(1, Ordering::Relaxed);
+        context.open_calls.fetch_add(1, Ordering::SeqCst);
         Self(Arc::clone(context))
     }
 }
 
 impl Drop for OpenCall {
     fn drop(&mut self) {
-        self.0.open_calls.fetch_sub(1, Ordering::Relaxed);
+        self.0.open_calls.fetch_sub(1, Ordering::SeqCst);
     }
 }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -126,10 +126,13 @@
     context.control_lateness().was_overloaded_since(since, context.now())
 }
 
-/// Measures how late the thread of this task runs until the process stops.
+/// Measures how late the thread of this task runs, and looks for the signal to stop, until the
+/// process stops.
 async fn watch_control_lateness(context: Arc<GatewayContext>) {
     while !context.shutdown.is_cancelled() {
-        let pause_ms = context.control_lateness().tick(context.now());
+        let now = context.now();
+        context.stop_watch.look(now);
+        let pause_ms = context.control_lateness().tick(now);
         tokio::time::sleep(Duration::from_millis(pause_ms)).await;
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,6 +38,7 @@
 mod serve;
 mod settings;
 mod share;
+mod stop;
 mod streams;
 mod view;
 mod worker;
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -81,6 +81,11 @@
         }
     };
     report.record_route(&routed);
+    let refuse_for_stop = || Refusal::retry_after(RefusalCause::Draining, DRAINING_RETRY_MS);
+    if !context.accepts(context.now(), routed.expires_at) {
+        discard_body(&mut body).await;
+        return refuse(&mut report, refuse_for_stop());
+    }
     let check = match check_parts(context, &routed) {
         Ok(check) => check,
         Err(refusal) => {
@@ -97,6 +102,10 @@
             return refuse(&mut report, refusal);
         }
     };
+    // The body may have taken some time.
+    if !context.accepts(context.now(), routed.expires_at) {
+        return refuse(&mut report, refuse_for_stop());
+    }
     if routed.remaining_ms(context.now()) == 0 {
         return refuse(&mut report, Refusal::new(RefusalCause::TimeoutUnsent));
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
 
 use base::PrometheusSink;
 use ntex::SharedCfg;
@@ -12,32 +11,24 @@
 use ntex::server::ServerBuilder;
 use ntex::service::fn_service;
 use ntex::time::Seconds;
-use tokio::signal::unix::{SignalKind, signal};
 
 use crate::accept::start_caller_server;
 use crate::beats::start_heartbeats;
-use crate::context::{GatewayContext, millis};
+use crate::context::GatewayContext;
 use crate::follow::follow_source;
 use crate::heap::trim_heap;
 use crate::platform::{CallFormat, StateSource};
 use crate::relay::RelayBody;
 use crate::reload::start_reload;
 use crate::resources::sample_resources;
-use crate::serve;
 use crate::settings::GatewaySettings;
+use crate::{serve, stop};
 
 /// Time that a caller may take to send the head of its request.
 const HEAD_TIMEOUT: Seconds = Seconds(5);
 /// Time after which an idle connection of a caller is closed: longer than any
 /// caller keeps one for reuse.
 const CALLER_KEEP_ALIVE: Seconds = Seconds(75);
-/// Time between two checks for open requests during a drain.
-const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(50);
-/// The process exits this long before it would be killed, in milliseconds.
-const EXIT_MARGIN_MS: u64 = 500;
-/// Callers may use an address response for this many times its lease.
-const USABLE_LEASES: f64 = 3.0;
-
 /// Runs a gateway until it receives a stop signal. `file` is the file that the
 /// settings were read from.
 ///
@@ -64,6 +55,7 @@
 ) -> anyhow::Result<()> {
     let (metrics, metrics_sink) = base::prometheus_client("poplar");
     let context = GatewayContext::new(settings, format, metrics);
+    context.stop_watch.register()?;
     tracing::info!(
         unit = "run",
         event = "started",
@@ -79,52 +71,14 @@
     ntex::rt::spawn(follow_source(Arc::clone(&context), source));
     ntex::rt::spawn(sample_resources(Arc::clone(&context)));
     ntex::rt::spawn(trim_heap(Arc::clone(&context)));
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    drain(&context).await;
+    stop::wait_for_signal().await?;
+    stop::drain(&context).await;
     context.shutdown.cancel();
     server.stop(false).await;
     tracing::info!(unit = "run", event = "stopped");
     Ok(())
 }
 
-/// Drains the router. It is withdrawn from address responses and reports that it
-/// is not ready, but still serves requests until callers have had time to move to
-/// other routers. Then it refuses new requests and waits for open ones until the
-/// deadline.
-async fn drain(context: &Arc<GatewayContext>) {
-    let start = Instant::now();
-    context.start_draining();
-    tracing::info!(unit = "run", event = "drain", open = context.open_calls());
-    let stop_ms = millis(context.settings.bounds.stop_s);
-    let deadline = Duration::from_millis(stop_ms.saturating_sub(EXIT_MARGIN_MS));
-    let notice_period = Duration::from_secs_f64(serve::ADDRESS_LEASE_S * USABLE_LEASES);
-    while start.elapsed() < deadline {
-        if start.elapsed() >= notice_period {
-            if !context.is_closed() {
-                let after_ms = start.elapsed().as_millis() as u64;
-                tracing::info!(
-                    unit = "run",
-                    event = "closed",
-                    after_ms,
-                    open = context.open_calls()
-                );
-            }
-            context.close();
-            if context.open_calls() == 0 {
-                break;
-            }
-        }
-        tokio::time::sleep(DRAIN_POLL_PERIOD).await;
-    }
-    let took_ms = start.elapsed().as_millis() as u64;
-    tracing::info!(unit = "run", event = "drained", took_ms, cut = context.open_calls());
-}
-
 pub(crate) fn http_config() -> SharedCfg {
     let config = HttpServiceConfig::new()
         .set_headers_read_rate(HEAD_TIMEOUT, HEAD_TIMEOUT, 1_024)
--- /dev/null
+++ b/crates/gateway/src/stop.rs
@@ -0,0 +1,105 @@
+//! Finds out when the signal to stop may have been sent, and stops the router.
+
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use admit::{StopPlan, StopSettings};
+use base::Millis;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::context::{GatewayContext, millis};
+use crate::serve;
+
+/// Callers may use an address response for this many times its lease.
+const USABLE_LEASES: f64 = 3.0;
+/// The process exits this long before it would be killed, in milliseconds.
+const EXIT_MARGIN_MS: u64 = 500;
+/// Requests without a response are answered this long before the exit, in milliseconds.
+const ANSWER_MARGIN_MS: u64 = 200;
+/// Time between two checks for open requests during a drain.
+const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(50);
+
+/// When the signal to stop had not been sent yet.
+#[derive(Debug, Default)]
+pub(crate) struct StopWatch {
+    /// Set by the signal handler.
+    is_signalled: Arc<AtomicBool>,
+    unsignalled_at: AtomicU64,
+}
+
+impl StopWatch {
+    /// Installs the handlers.
+    ///
+    /// # Errors
+    /// Returns an error if a handler can't be installed.
+    pub(crate) fn register(&self) -> io::Result<()> {
+        for number in [SIGTERM, SIGINT] {
+            signal_hook::flag::register(number, Arc::clone(&self.is_signalled))?;
+        }
+        Ok(())
+    }
+
+    /// Looks whether the signal has arrived. To be called by the main thread, which handles
+    /// signals: it runs no further before their handlers have run.
+    pub(crate) fn look(&self, now: Millis) {
+        if !self.is_signalled.load(Ordering::SeqCst) {
+            self.unsignalled_at.store(now, Ordering::SeqCst);
+        }
+    }
+
+    /// Returns the time of the last look at which the signal had not arrived.
+    fn unsignalled_at(&self) -> Millis {
+        self.unsignalled_at.load(Ordering::SeqCst)
+    }
+}
+
+/// Waits for the signal to stop.
+///
+/// # Errors
+/// Returns an error if a signal handler can't be installed.
+pub(crate) async fn wait_for_signal() -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+/// Drains the router. It is withdrawn from address responses and reports that it is not ready,
+/// but still serves requests until callers have had time to move to other routers. After that
+/// it accepts only requests that end before its exit, and exits once there are none.
+pub(crate) async fn drain(context: &Arc<GatewayContext>) {
+    let settings = StopSettings {
+        notice_ms: millis(serve::ADDRESS_LEASE_S * USABLE_LEASES),
+        kill_ms: millis(context.settings.bounds.stop_s),
+        exit_margin_ms: EXIT_MARGIN_MS,
+        answer_margin_ms: ANSWER_MARGIN_MS,
+    };
+    let unsignalled_at = context.stop_watch.unsignalled_at();
+    let plan = StopPlan::new(unsignalled_at, &settings);
+    let noticed_ms = context.now().saturating_sub(unsignalled_at);
+    context.start_draining(plan);
+    tracing::info!(unit = "run", event = "drain", open = context.open_calls(), noticed_ms);
+    let mut is_notice_over = false;
+    while plan.exit_in_ms(context.now()) > 0 {
+        if plan.is_notice_over(context.now()) {
+            if !is_notice_over {
+                let after_ms = context.now().saturating_sub(unsignalled_at);
+                let open = context.open_calls();
+                tracing::info!(unit = "run", event = "closed", after_ms, open);
+            }
+            is_notice_over = true;
+            if context.close_if_unused() {
+                break;
+            }
+        }
+        tokio::time::sleep(DRAIN_POLL_PERIOD).await;
+    }
+    let took_ms = context.now().saturating_sub(unsignalled_at);
+    tracing::info!(unit = "run", event = "drained", took_ms, cut = context.open_calls());
+}
