fix: a stopping router answers requests without a response before it exits (LOST)

Requests that waited for a target, or for the first byte of its response, ended with their connection at the exit: their callers heard nothing, and the rule excuses only those whose target is at work.

Streams of which the caller has events break off, as before.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -144,6 +144,8 @@
     refusal_log_sampler: Mutex<LogSampler>,
     /// Triggers a heartbeat when peers should be informed at once.
     pub(crate) heartbeat_now: Notify,
+    /// Cancelled shortly before the process exits: requests without a response are answered.
+    pub(crate) ending: CancellationToken,
     /// Cancelled when the process shuts down.
     pub(crate) shutdown: CancellationToken,
     pub(crate) stop_watch: StopWatch,
@@ -248,6 +250,7 @@
             control_lateness: Mutex::default(),
             refusal_log_sampler: Mutex::default(),
             heartbeat_now: Notify::new(),
+            ending: CancellationToken::new(),
             shutdown: CancellationToken::new(),
             stop_watch: StopWatch::default(),
             stop_plan: OnceLock::new(),
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -38,6 +38,14 @@
 const MAX_DISCARDED_BYTES: usize = 4 << 20;
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Why a request ends without a response of a target.
+#[derive(Clone, Copy, Debug)]
+enum ForwardEnd {
+    TimedOut,
+    /// The router exits.
+    Stopped,
+}
+
 /// A response that is ready to be forwarded.
 enum ReadyResponse {
     Whole(Box<Parts>, hyper::body::Bytes),
@@ -93,7 +101,11 @@
             return refuse(&mut report, refusal);
         }
     };
-    let body = match routed.read_body(context, &mut body).await {
+    let read = tokio::select! {
+        read = routed.read_body(context, &mut body) => read,
+        () = context.ending.cancelled() => Err(refuse_for_stop()),
+    };
+    let body = match read {
         Ok(body) => body,
         Err(refusal) => {
             if refusal.is_for_memory() {
@@ -125,8 +137,11 @@
     report.record_admission(&admitted);
     let remaining_ms = admitted.routed.remaining_ms(context.now());
     let deadline = Instant::now() + Duration::from_millis(remaining_ms);
-    let forwarding = forward(&worker, &admitted, &mut attempts);
-    let result = tokio::time::timeout_at(deadline, forwarding).await;
+    let result = tokio::select! {
+        result = forward(&worker, &admitted, &mut attempts) => Ok(result),
+        () = tokio::time::sleep_until(deadline) => Err(ForwardEnd::TimedOut),
+        () = context.ending.cancelled() => Err(ForwardEnd::Stopped),
+    };
     report.record_attempts(&attempts);
     let ready = match result {
         Ok(Ok(ready)) => ready,
@@ -134,14 +149,15 @@
             refund_cost(&worker, &admitted);
             return refuse(&mut report, refusal);
         }
-        Err(_) => {
+        Err(end) => {
             refund_cost(&worker, &admitted);
-            let cause = if attempts.may_have_run {
-                RefusalCause::Timeout
-            } else {
-                RefusalCause::TimeoutUnsent
+            let refusal = match (end, attempts.may_have_run) {
+                (ForwardEnd::TimedOut, true) => Refusal::new(RefusalCause::Timeout),
+                (ForwardEnd::TimedOut, false) => Refusal::new(RefusalCause::TimeoutUnsent),
+                (ForwardEnd::Stopped, true) => Refusal::new(RefusalCause::Stopped),
+                (ForwardEnd::Stopped, false) => refuse_for_stop(),
             };
-            return refuse(&mut report, Refusal::new(cause));
+            return refuse(&mut report, refusal);
         }
     };
     let mut response = match ready {
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -54,6 +54,8 @@
     TimeoutUnsent,
     /// The request timed out and may have run.
     Timeout,
+    /// The router exits; the request may have run and has no response yet.
+    Stopped,
     /// The request may have run and its response is lost.
     AnswerLost,
 }
@@ -116,7 +118,7 @@
             | Cause::NoTarget
             | Cause::NotRun
             | Cause::TimeoutUnsent => StatusCode::SERVICE_UNAVAILABLE,
-            Cause::Timeout => StatusCode::GATEWAY_TIMEOUT,
+            Cause::Stopped | Cause::Timeout => StatusCode::GATEWAY_TIMEOUT,
             Cause::AnswerLost => StatusCode::BAD_GATEWAY,
         }
     }
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -87,6 +87,9 @@
     tracing::info!(unit = "run", event = "drain", open = context.open_calls(), noticed_ms);
     let mut is_notice_over = false;
     while plan.exit_in_ms(context.now()) > 0 {
+        if plan.is_ended(context.now()) {
+            context.ending.cancel();
+        }
         if plan.is_notice_over(context.now()) {
             if !is_notice_over {
                 let after_ms = context.now().saturating_sub(unsignalled_at);
