--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -40,7 +40,14 @@
 
 /// Streams of this router of which callers have the first event.
 #[derive(Debug, Default)]
-pub(crate) struct OpenStreams(SlotMap<OpenStreamKey, StreamRecord>);
+pub(crate) struct OpenStreams(SlotMap<OpenStreamKey, OpenStream>);
+
+#[derive(Debug)]
+struct OpenStream {
+    record: StreamRecord,
+    /// Holders that were told of it.
+    told: Vec<SocketAddr>,
+}
 
 /// Counts a stream as open until the guard is dropped.
 #[derive(Debug)]
@@ -60,10 +67,10 @@
             resumes.record(&record, now);
             resumes.must_tell(&record.origin.service, view_age, now)
         };
+        let key = context.open_streams().0.insert(OpenStream { record, told: Vec::new() });
         if must_tell {
-            tell_holders(context, vec![record.clone()]);
+            tell_holders(context, &[key]);
         }
-        let key = context.open_streams().0.insert(record);
         Self { context: Arc::clone(context), key }
     }
 }
@@ -74,20 +81,46 @@
     }
 }
 
-/// Tells the holders of some streams what began them.
-fn tell_holders(context: &GatewayContext, records: Vec<StreamRecord>) {
+/// Tells the holders of some open streams what began them, unless they know. Returns how many
+/// messages that took.
+fn tell_holders(context: &GatewayContext, keys: &[OpenStreamKey]) -> usize {
+    let records: Vec<(OpenStreamKey, StreamRecord)> = {
+        let streams = context.open_streams();
+        let open = keys.iter().filter_map(|key| Some((*key, streams.0.get(*key)?.record.clone())));
+        open.collect()
+    };
+    let holders: Vec<Vec<SocketAddr>> = {
+        let resumes = context.resumes();
+        records.iter().map(|(_, record)| resumes.holders(record.key)).collect()
+    };
     let mut by_holder: BTreeMap<SocketAddr, Vec<StreamRecord>> = BTreeMap::new();
-    for record in records {
-        let holders = context.resumes().holders(record.key);
-        for holder in holders {
-            by_holder.entry(holder).or_default().push(record.clone());
+    {
+        let mut streams = context.open_streams();
+        for ((key, record), holders) in records.iter().zip(holders) {
+            let Some(stream) = streams.0.get_mut(*key) else { continue };
+            for holder in holders {
+                if !stream.told.contains(&holder) {
+                    stream.told.push(holder);
+                    by_holder.entry(holder).or_default().push(record.clone());
+                }
+            }
         }
     }
+    let mut sent = 0;
     for (holder, records) in by_holder {
         for records in records.chunks(MAX_RECORDS) {
             context.permits.send(holder, &PeerMessage::StreamsBegan(records.to_vec()));
+            sent += 1;
         }
     }
+    sent
+}
+
+/// Returns the open streams of some services.
+fn open_streams_of(context: &GatewayContext, services: &[Name]) -> Vec<OpenStreamKey> {
+    let streams = context.open_streams();
+    let open = streams.0.iter().filter(|(_, open)| services.contains(&open.record.origin.service));
+    open.map(|(key, _)| key).collect()
 }
 
 /// Records what a peer says of streams.
@@ -133,19 +166,28 @@
     if services.is_empty() {
         return;
     }
-    let records: Vec<StreamRecord> = {
-        let streams = context.open_streams();
-        let records = streams.0.values();
-        records.filter(|record| services.contains(&record.origin.service)).cloned().collect()
-    };
-    tracing::info!(unit = "streams", event = "told", ?services, open = records.len(), view_age);
-    tell_holders(context, records);
+    let open = open_streams_of(context, &services);
+    tracing::info!(unit = "streams", event = "told", ?services, open = open.len(), view_age);
+    tell_holders(context, &open);
+}
+
+/// Tells holders that are new, as peers came or went, of the open streams that are told. Routers
+/// that take a stream up ask the holders that they know then.
+fn tell_new_holders(context: &GatewayContext) {
+    let services = context.resumes().take_peer_change();
+    let open = open_streams_of(context, &services);
+    if open.is_empty() {
+        return;
+    }
+    let messages = tell_holders(context, &open);
+    tracing::info!(unit = "streams", event = "retold", open = open.len(), messages);
 }
 
 /// Checks from time to time whether holders have to be told, until the process stops.
 pub(crate) async fn watch_streams(context: Arc<GatewayContext>) {
     while !context.shutdown.is_cancelled() {
         tell_newly_uncertain(&context);
+        tell_new_holders(&context);
         context.metrics.gauge("remembered_streams", context.resumes().record_count() as u64).ok();
         tokio::time::sleep(WATCH_PERIOD).await;
     }
--- a/crates/resume/src/policy.rs
+++ b/crates/resume/src/policy.rs
@@ -30,6 +30,8 @@
     history: VersionHistory,
     records: StreamRecords,
     peers: Vec<HolderPeer>,
+    /// Whether the peers have changed since [`Self::take_peer_change`].
+    has_peer_change: bool,
     /// Services whose streams are told to holders.
     told_services: BTreeSet<Name>,
 }
@@ -46,9 +48,19 @@
 
     /// Sets the live peers, without this router.
     pub fn set_peers(&mut self, peers: Vec<HolderPeer>) {
+        self.has_peer_change |= self.peers != peers;
         self.peers = peers;
     }
 
+    /// Returns the services whose open streams may have other holders than when they were told, as
+    /// the peers have changed since the last call.
+    pub fn take_peer_change(&mut self) -> Vec<Name> {
+        if !std::mem::take(&mut self.has_peer_change) {
+            return Vec::new();
+        }
+        self.told_services.iter().cloned().collect()
+    }
+
     /// Records the service and version of all targets that are published now. What was known
     /// before was complete at `confirmed_at`.
     pub fn update_versions(
