fix: nothing counts as observed without a configuration (ORDER)

Found by reading the change. Without a configuration the time for which versions matter is not known, so a version that is gone was forgotten at once, while the time of observation went on. Once the configuration came, or for a peer that asked, such a router counted as one that had seen a single version for long. Comments and one repeated refusal beside it are put right.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -356,8 +356,8 @@
         lock(&self.refusal_log_sampler)
     }
 
-    /// Marks this router as draining and informs its peers at once.
-    /// Begins to stop. A further call has no effect.
+    /// Marks this router as stopping by `plan` and informs its peers at once. A further call has no
+    /// effect.
     pub(crate) fn start_draining(&self, plan: StopPlan) {
         self.stop_plan.get_or_init(|| plan);
         self.heartbeat_now.notify_one();
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -67,14 +67,14 @@
         let id = id.as_deref().map(|id| (context.format.id_header(), id));
         refusal.into_response(id, context.closes_connections())
     };
+    let refuse_for_stop = || Refusal::retry_after(RefusalCause::Draining, DRAINING_RETRY_MS);
     let mut body = BodyReader::new(&mut request);
     if is_connection_closed {
         return refuse(&mut report, Refusal::new(RefusalCause::ConnectionClosed));
     }
     if context.is_closed() {
         discard_body(&mut body).await;
-        let refusal = Refusal::retry_after(RefusalCause::Draining, DRAINING_RETRY_MS);
-        return refuse(&mut report, refusal);
+        return refuse(&mut report, refuse_for_stop());
     }
     let overload_lateness = context.lateness().overload_lateness(context.now());
     if let Some(late_ms) = overload_lateness {
@@ -89,7 +89,6 @@
         }
     };
     report.record_route(&routed);
-    let refuse_for_stop = || Refusal::retry_after(RefusalCause::Draining, DRAINING_RETRY_MS);
     if !context.accepts(context.now(), routed.expires_at) {
         discard_body(&mut body).await;
         return refuse(&mut report, refuse_for_stop());
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -29,6 +29,7 @@
 /// Time after which an idle connection of a caller is closed: longer than any
 /// caller keeps one for reuse.
 const CALLER_KEEP_ALIVE: Seconds = Seconds(75);
+
 /// Runs a gateway until it receives a stop signal. `file` is the file that the
 /// settings were read from.
 ///
--- a/crates/resume/src/history.rs
+++ b/crates/resume/src/history.rs
@@ -54,8 +54,9 @@
 pub struct VersionHistory {
     services: BTreeMap<Name, BTreeMap<Name, VersionSpan>>,
     /// Since when the view of the targets has been current, of this router or of a peer before.
+    /// None without a configuration.
     observed_since: Option<SignedMillis>,
-    /// When the view of the targets was first current. Never earlier than the configuration.
+    /// When the view of the targets was first current.
     known_since: Option<Millis>,
     /// Since when a peer has observed the targets, and when it said so.
     peer_observed: Option<(SignedMillis, Millis)>,
@@ -140,12 +141,12 @@
         settings: &ResumeSettings,
         now: Millis,
     ) {
-        if view_age.is_some_and(|age| age <= settings.fresh_ms) {
+        // Without a configuration no version that is gone is remembered.
+        let has_window = self.window.at(now) > 0;
+        if has_window && view_age.is_some_and(|age| age <= settings.fresh_ms) {
             let since = self.peer_observed_since(settings, now);
             self.observed_since.get_or_insert(since);
-            if self.window.at(now) > 0 {
-                self.known_since.get_or_insert(now);
-            }
+            self.known_since.get_or_insert(now);
         } else {
             self.observed_since = None;
         }
@@ -208,14 +209,14 @@
     /// for as long as a stream may last: no version is missing that a stream may have begun at.
     pub(crate) fn is_observed(&self, now: Millis) -> bool {
         let window = self.window.at(now);
-        window > 0 && self.observed_since.is_some_and(|since| since.age(now) >= window)
+        self.observed_since.is_some_and(|since| since.age(now) >= window)
     }
 
     /// Whether this router has run for as long as a stream may last. Its view of the targets may
     /// have been old meanwhile.
     pub(crate) fn is_settled(&self, now: Millis) -> bool {
         let window = self.window.at(now);
-        window > 0 && self.known_since.is_some_and(|since| now - since >= window)
+        self.known_since.is_some_and(|since| now - since >= window)
     }
 
     /// Returns the version at which all streams of a service began, as far as this router has
--- a/crates/resume/tests/policy.rs
+++ b/crates/resume/tests/policy.rs
@@ -61,6 +61,21 @@
     assert_eq!(answer, HolderAnswer::Unknown);
 }
 
+/// Guards against a router that counts as a witness though it has forgotten versions that are
+/// gone (ORDER): it had no configuration, so it did not know how long they matter.
+#[test]
+fn nothing_counts_as_observed_without_a_configuration() {
+    let mut policy = ResumePolicy::new(ResumeSettings::default());
+    for (version, at) in [("v1", 0), ("v2", 50_000)] {
+        policy.update_versions([(SERVICE.into(), version.into())].into_iter(), Some(at), at);
+        policy.refresh(Some(0), at);
+    }
+    policy.set_longest_stream(LONGEST_MS, 51_000);
+    policy.refresh(Some(0), 51_000);
+    assert_eq!(policy.observed_ms(51_000), 0);
+    assert_eq!(decide(&policy, "r-1", 0, 51_000), ResumeDecision::Ask(Vec::new()));
+}
+
 /// Guards against streams that do not go on (LOST): a router that starts asks its peers before
 /// the source has responded to it, and relies on what they have observed.
 #[test]
