fix: a holder that has started again is told of the open streams again (LOST)

Holders were told once, by address, so planned restarts of the others one after the other left an open stream known to nobody, and after the end of its own router it was refused. Seen failing: streams_whose_holders_have_started_again_are_taken_up (the holders did not know the streams 20 s later).

A holder is one incarnation of a router now, so a restart counts as a change of peers, and open streams that are told go to the new incarnation.

--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -7,10 +7,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use base::{Millis, Name};
+use base::{Millis, Name, Origin};
 use cadence::prelude::*;
+use mesh::MemberView;
 use resume::{
-    HolderPeer, LookupVerdict, ResumeDecision, StreamKey, StreamLookup, StreamOrigin, StreamRecord,
+    HolderPeer, LookupVerdict, ResumeDecision, StreamHolder, StreamKey, StreamLookup, StreamOrigin,
+    StreamRecord,
 };
 use slotmap::SlotMap;
 use tokio::sync::oneshot;
@@ -46,7 +48,7 @@
 struct OpenStream {
     record: StreamRecord,
     /// Holders that were told of it.
-    told: Vec<SocketAddr>,
+    told: Vec<StreamHolder>,
 }
 
 /// Counts a stream as open until the guard is dropped.
@@ -89,7 +91,7 @@
         let open = keys.iter().filter_map(|key| Some((*key, streams.0.get(*key)?.record.clone())));
         open.collect()
     };
-    let holders: Vec<Vec<SocketAddr>> = {
+    let holders: Vec<Vec<StreamHolder>> = {
         let resumes = context.resumes();
         records.iter().map(|(_, record)| resumes.holders(record.key)).collect()
     };
@@ -101,7 +103,7 @@
             for holder in holders {
                 if !stream.told.contains(&holder) {
                     stream.told.push(holder);
-                    by_holder.entry(holder).or_default().push(record.clone());
+                    by_holder.entry(holder.address).or_default().push(record.clone());
                 }
             }
         }
@@ -136,8 +138,11 @@
     let peers: Vec<HolderPeer> = {
         let members = context.members();
         let live = members.live(now).filter(|view| !view.is_draining);
-        live.map(|view| HolderPeer::new(&view.origin.instance, view.domain, view.addresses.beats))
-            .collect()
+        let peer = |view: MemberView| {
+            let Origin { instance, incarnation } = view.origin;
+            HolderPeer::new(&instance, view.domain, view.addresses.beats, incarnation)
+        };
+        live.map(peer).collect()
     };
     context.resumes().set_peers(peers);
 }
@@ -171,8 +176,8 @@
     tell_holders(context, &open);
 }
 
-/// Tells holders that are new, as peers came or went, of the open streams that are told. Routers
-/// that take a stream up ask the holders that they know then.
+/// Tells holders that are new, as peers came, went or started again, of the open streams that are
+/// told. Routers that take a stream up ask the holders that they know then.
 fn tell_new_holders(context: &GatewayContext) {
     let services = context.resumes().take_peer_change();
     let open = open_streams_of(context, &services);
--- a/crates/resume/src/lib.rs
+++ b/crates/resume/src/lib.rs
@@ -29,7 +29,7 @@
 mod settings;
 
 pub use history::{VersionHistory, VersionNotice};
-pub use holders::{HolderPeer, choose_holders};
+pub use holders::{HolderPeer, StreamHolder, choose_holders};
 pub use lookup::{HolderAnswer, LookupVerdict, StreamLookup};
 pub use policy::{ResumeDecision, ResumePolicy};
 pub use records::{StreamKey, StreamOrigin, StreamRecord, StreamRecords};
--- a/crates/resume/src/policy.rs
+++ b/crates/resume/src/policy.rs
@@ -7,7 +7,7 @@
 use base::{Millis, Name};
 
 use crate::history::{VersionHistory, VersionNotice};
-use crate::holders::{HolderPeer, choose_holders};
+use crate::holders::{HolderPeer, StreamHolder, choose_holders};
 use crate::lookup::HolderAnswer;
 use crate::records::{KnownOrigin, StreamKey, StreamOrigin, StreamRecord, StreamRecords};
 use crate::settings::ResumeSettings;
@@ -109,7 +109,7 @@
     }
 
     /// Returns the holders of a stream.
-    pub fn holders(&self, key: StreamKey) -> Vec<SocketAddr> {
+    pub fn holders(&self, key: StreamKey) -> Vec<StreamHolder> {
         choose_holders(key, &self.peers, self.settings.holders)
     }
 
@@ -140,7 +140,10 @@
                 let (service, version) = (Name::clone(service), Name::clone(version));
                 ResumeDecision::Began(StreamOrigin { service, version })
             }
-            None => ResumeDecision::Ask(key.map(|key| self.holders(key)).unwrap_or_default()),
+            None => {
+                let holders = key.map(|key| self.holders(key)).unwrap_or_default();
+                ResumeDecision::Ask(holders.iter().map(|holder| holder.address).collect())
+            }
         }
     }
 
--- a/crates/resume/tests/fleet.rs
+++ b/crates/resume/tests/fleet.rs
@@ -206,12 +206,12 @@
     fn update_peers(&mut self) {
         let peer = |(index, router): (usize, &Router)| {
             let name = format!("router-{index}");
-            HolderPeer::new(&name, Name::clone(&router.domain), address(index))
+            HolderPeer::new(&name, Name::clone(&router.domain), address(index), 1)
         };
         let all: Vec<HolderPeer> = self.routers.iter().enumerate().map(peer).collect();
         for (index, router) in self.routers.iter_mut().enumerate() {
-            let others = all.iter().filter(|peer| peer.address != address(index));
-            router.policy.set_peers(others.cloned().collect());
+            let others = all.iter().enumerate().filter(|(other, _)| *other != index);
+            router.policy.set_peers(others.map(|(_, peer)| peer.clone()).collect());
         }
     }
 
@@ -228,7 +228,7 @@
     fn tell(&mut self, router: usize, record: &StreamRecord) {
         for holder in self.routers[router].policy.holders(record.key) {
             self.counts.told += 1;
-            let holder = self.router_at(holder);
+            let holder = self.router_at(holder.address);
             if self.is_delivered(router, holder) {
                 self.routers[holder].policy.record(record, self.now);
             }
--- a/crates/resume/tests/policy.rs
+++ b/crates/resume/tests/policy.rs
@@ -169,13 +169,14 @@
     let address = |index: u16| SocketAddr::from(([10, 0, 0, 1], 7_000 + index));
     let peer = |index: u16| {
         let domain = format!("zone-{}", index % 3);
-        HolderPeer::new(&format!("router-{index}"), domain.as_str().into(), address(index))
+        HolderPeer::new(&format!("router-{index}"), domain.as_str().into(), address(index), 1)
     };
     let peers: Vec<HolderPeer> = (0..9).map(peer).collect();
     for number in 0..200 {
         let key = StreamKey::new(None, &format!("r-{number}"));
         let holders = choose_holders(key, &peers, 3);
-        let domains: BTreeSet<u16> = holders.iter().map(|holder| holder.port() % 3).collect();
+        let domains: BTreeSet<u16> =
+            holders.iter().map(|holder| holder.address.port() % 3).collect();
         assert_eq!((holders.len(), domains.len()), (3, 3));
         let fewer = choose_holders(key, &peers[..8], 3);
         let shared = fewer.iter().filter(|holder| holders.contains(holder)).count();
