--- a/crates/admit/tests/stop.rs
+++ b/crates/admit/tests/stop.rs
@@ -5,8 +5,8 @@
 
 const SETTINGS: StopSettings =
     StopSettings { notice_ms: 3_000, kill_ms: 8_000, exit_margin_ms: 500, answer_margin_ms: 200 };
-/// Time between two looks at whether the signal has arrived, if nothing is late.
-const LOOK_PERIOD_MS: u64 = 50;
+/// Time between two checks whether the signal has arrived, if nothing is late.
+const CHECK_PERIOD_MS: u64 = 50;
 /// A request that was sent no later than this after the signal may be cut.
 const EXCUSED_MS: u64 = 3_000;
 
@@ -34,10 +34,10 @@
     #[test]
     fn accepted_means_excused_or_ended_before_the_exit(
         signalled_at in 1_000u64..100_000,
-        look_late in prop_oneof![0u64..60, 0u64..2_000],
+        check_late in prop_oneof![0u64..60, 0u64..2_000],
         arrivals in prop::collection::vec(arrival(), 1..40),
     ) {
-        let unsignalled_at = signalled_at.saturating_sub(look_late);
+        let unsignalled_at = signalled_at.saturating_sub(check_late);
         let plan = StopPlan::new(unsignalled_at, &SETTINGS);
         let exits_at = signalled_at + plan.exit_in_ms(signalled_at);
         prop_assert!(exits_at < signalled_at + SETTINGS.kill_ms, "killed before the exit");
@@ -48,7 +48,7 @@
             let ends_in_time = expires_at < exits_at;
             prop_assert!(!is_accepted || sent_after <= EXCUSED_MS || ends_in_time);
             // What is refused costs callers: only what came late or may not end.
-            let is_prompt = sent_after + read_late + look_late <= EXCUSED_MS;
+            let is_prompt = sent_after + read_late + check_late <= EXCUSED_MS;
             prop_assert!(is_accepted || !is_prompt, "refused after {sent_after} ms");
             let has_time = expires_at + SETTINGS.answer_margin_ms <= exits_at;
             prop_assert!(is_accepted || !has_time, "refused with a limit of {limit_ms} ms");
@@ -64,8 +64,8 @@
     assert!(!plan.is_notice_over(13_000) && plan.is_notice_over(13_001));
     assert!(!plan.is_ended(17_299) && plan.is_ended(17_300));
     assert_eq!((plan.exit_in_ms(17_300), plan.exit_in_ms(18_000)), (200, 0));
-    // Nothing is lost with a look that is on time.
-    assert!(plan.accepts(10_000 + EXCUSED_MS - LOOK_PERIOD_MS, u64::MAX));
+    // Nothing is lost with a check that is on time.
+    assert!(plan.accepts(10_000 + EXCUSED_MS - CHECK_PERIOD_MS, u64::MAX));
 }
 
 /// A stop that leaves less time than callers may take ends all the same.
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -30,7 +30,7 @@
 use crate::platform::CallFormat;
 use crate::sampling::LogSampler;
 use crate::settings::GatewaySettings;
-use crate::stop::StopWatch;
+use crate::stop::SignalWatch;
 use crate::streams::{OpenStreams, OriginExchange};
 
 /// Progress in reading the configuration source.
@@ -148,7 +148,7 @@
     pub(crate) ending: CancellationToken,
     /// Cancelled when the process shuts down.
     pub(crate) shutdown: CancellationToken,
-    pub(crate) stop_watch: StopWatch,
+    pub(crate) signal_watch: SignalWatch,
     /// Set once the router stops.
     stop_plan: OnceLock<StopPlan>,
     /// Whether all new requests are refused, as the process exits. Read after a request was
@@ -252,7 +252,7 @@
             heartbeat_now: Notify::new(),
             ending: CancellationToken::new(),
             shutdown: CancellationToken::new(),
-            stop_watch: StopWatch::default(),
+            signal_watch: SignalWatch::default(),
             stop_plan: OnceLock::new(),
             is_closed: AtomicBool::new(false),
             open_calls: AtomicUsize::new(0),
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -126,12 +126,12 @@
     context.control_lateness().was_overloaded_since(since, context.now())
 }
 
-/// Measures how late the thread of this task runs, and looks for the signal to stop, until the
+/// Measures how late the thread of this task runs, and checks for the signal to stop, until the
 /// process stops.
 async fn watch_control_lateness(context: Arc<GatewayContext>) {
     while !context.shutdown.is_cancelled() {
         let now = context.now();
-        context.stop_watch.look(now);
+        context.signal_watch.check(now);
         let pause_ms = context.control_lateness().tick(now);
         tokio::time::sleep(Duration::from_millis(pause_ms)).await;
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -56,7 +56,7 @@
 ) -> anyhow::Result<()> {
     let (metrics, metrics_sink) = base::prometheus_client("poplar");
     let context = GatewayContext::new(settings, format, metrics);
-    context.stop_watch.register()?;
+    context.signal_watch.register()?;
     tracing::info!(
         unit = "run",
         event = "started",
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -24,13 +24,13 @@
 
 /// When the signal to stop had not been sent yet.
 #[derive(Debug, Default)]
-pub(crate) struct StopWatch {
+pub(crate) struct SignalWatch {
     /// Set by the signal handler.
     is_signalled: Arc<AtomicBool>,
     unsignalled_at: AtomicU64,
 }
 
-impl StopWatch {
+impl SignalWatch {
     /// Installs the handlers.
     ///
     /// # Errors
@@ -42,15 +42,15 @@
         Ok(())
     }
 
-    /// Looks whether the signal has arrived. To be called by the main thread, which handles
+    /// Checks whether the signal has arrived. To be called by the main thread, which handles
     /// signals: it runs no further before their handlers have run.
-    pub(crate) fn look(&self, now: Millis) {
+    pub(crate) fn check(&self, now: Millis) {
         if !self.is_signalled.load(Ordering::SeqCst) {
             self.unsignalled_at.store(now, Ordering::SeqCst);
         }
     }
 
-    /// Returns the time of the last look at which the signal had not arrived.
+    /// Returns the time of the last check at which the signal had not arrived.
     fn unsignalled_at(&self) -> Millis {
         self.unsignalled_at.load(Ordering::SeqCst)
     }
@@ -80,7 +80,7 @@
         exit_margin_ms: EXIT_MARGIN_MS,
         answer_margin_ms: ANSWER_MARGIN_MS,
     };
-    let unsignalled_at = context.stop_watch.unsignalled_at();
+    let unsignalled_at = context.signal_watch.unsignalled_at();
     let plan = StopPlan::new(unsignalled_at, &settings);
     let noticed_ms = context.now().saturating_sub(unsignalled_at);
     context.start_draining(plan);
