--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -23,6 +23,8 @@
     pub credential: Option<Name>,
     /// Empty for requests that describe no prompt.
     pub profile: RequestProfile,
+    /// Largest number of tokens that the target may generate.
+    pub max_output_tokens: Option<u32>,
     /// Id of the last event that the caller received of an earlier stream.
     pub last_event_id: Option<u64>,
     /// Id of the attempt whose response brought the first event of that stream.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -126,6 +126,7 @@
     reader: Option<ResponseReader>,
     /// Bytes that were read before the response head was forwarded.
     first_chunk: Option<hyper::body::Bytes>,
+    is_event_stream: bool,
     /// Set only for streams that may be resumed from another target.
     splitter: Option<EventSplitter>,
     /// Set once the first event is passed on, if the stream can be named by its caller.
@@ -166,7 +167,8 @@
         if let Some(connection) = &connection {
             connection.set_deadline(deadline);
         }
-        let is_resumable = call.routed.route.kind.is_retryable() && reader.is_event_stream();
+        let is_event_stream = reader.is_event_stream();
+        let is_resumable = call.routed.route.kind.is_retryable() && is_event_stream;
         let splitter = is_resumable.then(EventSplitter::default);
         Self {
             worker,
@@ -174,6 +176,7 @@
             attempts,
             reader: Some(reader),
             first_chunk,
+            is_event_stream,
             splitter,
             begun: None,
             connection,
@@ -230,6 +233,14 @@
     }
 
     async fn next(&mut self) -> Result<Option<Bytes>, RelayError> {
+        let bytes = self.next_part().await?;
+        if let Some(bytes) = bytes.as_ref().filter(|_| self.is_event_stream) {
+            self.report.record_events(bytes);
+        }
+        Ok(bytes)
+    }
+
+    async fn next_part(&mut self) -> Result<Option<Bytes>, RelayError> {
         loop {
             let bytes = match self.first_chunk.take() {
                 Some(chunk) => Ok(Some(chunk)),
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -7,6 +7,7 @@
 use base::{Millis, Name};
 use cadence::prelude::*;
 use outbound::BodyFraming;
+use sse::EventTrace;
 use target::FullCounts;
 
 use crate::call::{AdmittedCall, RoutedCall};
@@ -50,6 +51,10 @@
     framing: Option<BodyFraming>,
     /// Whether the last stream of a target ended inside an event.
     ended_in_event: Option<bool>,
+    /// Events that the caller received.
+    events: Option<EventTrace>,
+    /// Largest number of tokens that the request asked for.
+    max_output_tokens: Option<u32>,
     is_finished: bool,
     /// The log line is suppressed, as there are many of the same kind.
     is_suppressed: bool,
@@ -83,6 +88,8 @@
             full_counts: None,
             framing: None,
             ended_in_event: None,
+            events: None,
+            max_output_tokens: None,
             is_finished: false,
             is_suppressed: false,
             suppressed_lines: 0,
@@ -94,6 +101,7 @@
         self.route = Some(Name::clone(&call.route.name));
         self.account.clone_from(&call.account);
         self.version = Some(call.table.version);
+        self.max_output_tokens = call.received.metadata.max_output_tokens;
     }
 
     pub(crate) fn record_admission(&mut self, call: &AdmittedCall) {
@@ -119,6 +127,11 @@
         self.ended_in_event = Some(ended_in_event);
     }
 
+    /// Records events that are passed on to the caller.
+    pub(crate) fn record_events(&mut self, bytes: &[u8]) {
+        self.events.get_or_insert_default().push(bytes);
+    }
+
     pub(crate) fn finish_refused(&mut self, refusal: &Refusal) {
         self.status = Some(refusal.status().as_u16());
         self.full_counts = refusal.full_counts;
@@ -161,6 +174,7 @@
         if self.is_suppressed {
             return;
         }
+        let events = self.events.as_ref();
         tracing::info!(
             unit = "call",
             event = "ended",
@@ -191,6 +205,12 @@
             fullness = self.share.map(|share| (share.fullness * 100.0).round() / 100.0),
             framing = self.framing.map(tracing::field::debug),
             in_event = self.ended_in_event,
+            events = events.map(|events| events.events),
+            first_id = events.and_then(|events| events.first_id),
+            last_id = events.and_then(|events| events.last_id),
+            largest_step = events.map(|events| events.largest_step),
+            backward_steps = events.map(|events| events.backward_steps),
+            max_output = events.and(self.max_output_tokens),
             retry_after_ms,
             first_ms,
             took_ms,
--- a/crates/sse/src/lib.rs
+++ b/crates/sse/src/lib.rs
@@ -2,6 +2,8 @@
 
 mod boundary;
 mod splitter;
+mod trace;
 
 pub use boundary::{EventBoundary, TruncationError};
 pub use splitter::EventSplitter;
+pub use trace::EventTrace;
