fix: the run of a target goes on with the event after the last one, or is rejected (ORDER)

Callers saw events twice, out of order or with a gap: "1 after 11" and "14 after 11" in 60 of 60 streams of gateways on whose target broke off and whose next one began elsewhere than asked; the same over the tries of a caller, and within one run that goes back. Cause: the relay joined the runs of two targets by their bytes. That the second one goes on after Last-Event-Id was asked of the target and taken for granted; nothing looked at the first event that came. Class: what was asked of a peer is taken for what it did. Change: the crate sse places each event: next, known, ahead, without a place. Known events are left out if their bytes are those that were passed on; with other bytes they belong to another run, which is not joined. Ids increase within a run; a step between two runs is at most the largest one within a run, and where none is known the first event waits for the second. A run that is rejected counts as broken off: the stream is resumed elsewhere within the retry budget or ends visibly. A run without any event does not complete a stream that broke off. Routes that can't be resumed still pass on parts of events at once; there a run that goes back is cut before that event is complete.

--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -8,6 +8,7 @@
 use base::Name;
 use http::response::Parts;
 use ntex::http::{ConnectionType, Request, Response};
+use sse::OrderedEvents;
 use tokio::time::Instant;
 
 use crate::body::BodyReader;
@@ -20,7 +21,7 @@
 use crate::refusal::{Refusal, RefusalCause};
 use crate::relay::{BufferedBody, OpenStream, RelayBody, StreamRelay};
 use crate::report::{CallEnd, CallReport};
-use crate::send::{Attempts, TargetExchange, send};
+use crate::send::{Attempts, send};
 use crate::share;
 use crate::streams::find_taken_up;
 use crate::worker::Worker;
@@ -204,12 +205,17 @@
         let exchange = send(worker, call, attempts).await?;
         let is_stream =
             call.routed.route.kind.is_stream() && exchange.response.status().is_success();
-        let result = match (is_stream, call.routed.received.accepts_chunks) {
-            (true, true) => begin_stream(exchange).await,
-            (true, false) => {
-                buffer_response(worker, call, ResponseReader::of_stream(exchange)).await
+        let result = if is_stream {
+            let reader = ResponseReader::of_stream(exchange);
+            if call.routed.received.accepts_chunks {
+                let stream = StreamRelay::open(reader, call.events()).await;
+                stream.map(|stream| ReadyResponse::Stream(Box::new(stream)))
+            } else {
+                let events = reader.is_event_stream().then(|| call.events());
+                buffer_response(worker, call, reader, events).await
             }
-            (false, _) => buffer_response(worker, call, ResponseReader::of_plain(exchange)).await,
+        } else {
+            buffer_response(worker, call, ResponseReader::of_plain(exchange), None).await
         };
         let (cause, is_own_lack) = match result {
             Ok(ready) => return Ok(ready),
@@ -234,18 +240,14 @@
     }
 }
 
-async fn begin_stream(exchange: TargetExchange) -> Result<ReadyResponse, ReadFailure> {
-    let stream = StreamRelay::open(ResponseReader::of_stream(exchange)).await;
-    let stream = stream.map_err(ReadFailure::Lost)?;
-    Ok(ReadyResponse::Stream(Box::new(stream)))
-}
-
 async fn buffer_response(
     worker: &Worker,
     call: &AdmittedCall,
     reader: ResponseReader,
+    events: Option<OrderedEvents>,
 ) -> Result<ReadyResponse, ReadFailure> {
-    let (head, bytes) = reader.read_to_end(worker, &call.body, MAX_BUFFERED_BYTES).await?;
+    let read = reader.read_to_end(worker, &call.body, MAX_BUFFERED_BYTES, events);
+    let (head, bytes) = read.await?;
     Ok(ReadyResponse::Whole(Box::new(head), bytes))
 }
 
--- a/crates/gateway/src/reader.rs
+++ b/crates/gateway/src/reader.rs
@@ -5,7 +5,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Bytes, Incoming};
 use outbound::{BodyFraming, Connection};
-use sse::EventBoundary;
+use sse::{OrderError, OrderedEvents, RunEnd};
 use target::RequestOutcome;
 use thiserror::Error;
 
@@ -26,13 +26,22 @@
     NoMemory,
 }
 
+/// Why the run of a target does not go on with its stream, or did not end it.
+#[derive(Clone, Debug, Error)]
+pub(crate) enum RunFailure {
+    /// The response was broken off.
+    #[error("{0}")]
+    Lost(String),
+    #[error("{0}")]
+    Order(#[from] OrderError),
+}
+
 /// Reads the body of a target's response.
 pub(crate) struct ResponseReader {
     head: Parts,
     body: Incoming,
     framing: BodyFraming,
-    /// Place of the bytes read so far; `None` if they are no stream of events.
-    boundary: Option<EventBoundary>,
+    is_event_stream: bool,
     connection: Connection,
     outstanding: OutstandingRequest,
 }
@@ -43,15 +52,15 @@
         let TargetExchange { response, connection, outstanding } = exchange;
         let framing = BodyFraming::of(&response);
         let (head, body) = response.into_parts();
-        Self { head, body, framing, boundary: None, connection, outstanding }
+        Self { head, body, framing, is_event_stream: false, connection, outstanding }
     }
 
     /// Creates a reader of a response on a route for streams. Unless its content type
-    /// says otherwise, it is a stream of events and must end after one.
+    /// says otherwise, it is a stream of events.
     pub(crate) fn of_stream(exchange: TargetExchange) -> Self {
         let reader = Self::of_plain(exchange);
-        let boundary = is_event_stream(&reader.head.headers).then(EventBoundary::default);
-        Self { boundary, ..reader }
+        let is_event_stream = is_event_stream(&reader.head.headers);
+        Self { is_event_stream, ..reader }
     }
 
     pub(crate) fn head(&self) -> &Parts {
@@ -64,7 +73,7 @@
     }
 
     pub(crate) fn is_event_stream(&self) -> bool {
-        self.boundary.is_some()
+        self.is_event_stream
     }
 
     /// Returns the number of bytes that have not been read, if it is known.
@@ -72,20 +81,25 @@
         self.body.size_hint().exact()
     }
 
-    /// Returns the next bytes, or `None` at the end of a complete response.
+    /// Returns what marks the end of the response.
+    pub(crate) fn run_end(&self) -> RunEnd {
+        match self.framing {
+            BodyFraming::Length | BodyFraming::Chunked => RunEnd::Marked,
+            BodyFraming::Connection => RunEnd::Unmarked,
+        }
+    }
+
+    /// Returns the next bytes, or `None` at the end of the response.
     ///
     /// # Errors
     /// Returns a message if the response was broken off.
     pub(crate) async fn next_bytes(&mut self) -> Result<Option<Bytes>, String> {
         loop {
             match self.body.frame().await {
-                None => return self.check_end().map(|()| None),
+                None => return Ok(None),
                 Some(Err(cause)) => return Err(cause.to_string()),
                 Some(Ok(frame)) => {
                     if let Ok(bytes) = frame.into_data() {
-                        if let Some(boundary) = &mut self.boundary {
-                            boundary.advance(&bytes);
-                        }
                         return Ok(Some(bytes));
                     }
                 }
@@ -93,50 +107,62 @@
         }
     }
 
-    /// Checks that a stream of events ended after one of them. Its connection may have
-    /// been closed by a target that failed.
-    fn check_end(&self) -> Result<(), String> {
-        let is_marked = self.framing != BodyFraming::Connection;
-        let result = self.boundary.map_or(Ok(()), |boundary| boundary.check_end(is_marked));
-        result.map_err(|cause| cause.to_string())
-    }
-
-    /// Reads the complete response, with a body of at most `max_bytes`.
+    /// Reads the complete response, with a body of at most `max_bytes`. `events` are those of
+    /// a stream.
     ///
     /// # Errors
-    /// Returns a message if the response breaks off or is too large.
+    /// Returns a message if the response breaks off or is too large, or if nothing proves that a
+    /// stream is whole.
     pub(crate) async fn read_to_end(
         mut self,
         worker: &Worker,
         held: &HeldBody,
         max_bytes: usize,
+        mut events: Option<OrderedEvents>,
     ) -> Result<(Parts, Bytes), ReadFailure> {
         self.record_first_byte();
         let expected = self.remaining_bytes().unwrap_or_default();
         let mut body = Vec::with_capacity(max_bytes.min(expected as usize));
         loop {
-            match self.next_bytes().await {
-                Ok(Some(bytes)) if body.len() + bytes.len() > max_bytes => {
-                    self.fail();
-                    let cause = format!("answer has over {max_bytes} bytes");
-                    return Err(ReadFailure::Lost(cause));
-                }
-                Ok(Some(bytes)) => {
-                    if held.hold_response(bytes.len()).is_err() {
-                        return Err(ReadFailure::NoMemory);
-                    }
-                    body.extend_from_slice(&bytes);
-                }
-                Ok(None) if self.head.status.is_server_error() => {
-                    return Ok((self.fail(), body.into()));
-                }
-                Ok(None) => return Ok((self.complete(worker), body.into())),
-                Err(cause) => {
-                    self.break_off();
-                    return Err(ReadFailure::Lost(cause));
-                }
+            let bytes = match self.next_bytes().await {
+                Ok(Some(bytes)) => bytes,
+                Ok(None) => break,
+                Err(cause) => return Err(self.lose(RunFailure::Lost(cause))),
+            };
+            if body.len() + bytes.len() > max_bytes {
+                self.fail();
+                let cause = format!("answer has over {max_bytes} bytes");
+                return Err(ReadFailure::Lost(cause));
+            }
+            if held.hold_response(bytes.len()).is_err() {
+                return Err(ReadFailure::NoMemory);
+            }
+            let Some(events) = &mut events else {
+                body.extend_from_slice(&bytes);
+                continue;
+            };
+            let pushed = events.push(&bytes);
+            body.extend_from_slice(&pushed.passed);
+            if let Err(cause) = pushed.result {
+                return Err(self.lose(cause.into()));
             }
         }
+        if let Some(events) = &mut events {
+            if let Err(cause) = events.check_end(self.run_end()) {
+                return Err(self.lose(cause.into()));
+            }
+            body.extend_from_slice(&events.take_rest());
+        }
+        if self.head.status.is_server_error() {
+            return Ok((self.fail(), body.into()));
+        }
+        Ok((self.complete(worker), body.into()))
+    }
+
+    fn lose(self, failure: RunFailure) -> ReadFailure {
+        let cause = failure.to_string();
+        self.end_run(&failure);
+        ReadFailure::Lost(cause)
     }
 
     /// Records that the first byte of the response was received.
@@ -144,23 +170,29 @@
         self.outstanding.record_first_byte();
     }
 
-    /// Records how the stream was framed and where it ended.
-    pub(crate) fn record(&self, report: &mut CallReport) {
-        let is_in_event = self.boundary.is_some_and(|boundary| boundary.is_in_event());
+    /// Records how the stream was framed and whether it ended inside an event.
+    pub(crate) fn record(&self, report: &mut CallReport, is_in_event: bool) {
         report.record_stream(self.framing, is_in_event);
     }
 
+    /// Closes the connection and records what the failure of a run says of its target.
+    pub(crate) fn end_run(self, failure: &RunFailure) {
+        match failure {
+            RunFailure::Lost(_) | RunFailure::Order(OrderError::InEvent) => {
+                self.outstanding.break_off();
+            }
+            RunFailure::Order(cause) if cause.is_fault() => drop(self.fail()),
+            // The stream may be whole, which nothing proves.
+            RunFailure::Order(_) => self.outstanding.finish(RequestOutcome::Answered),
+        }
+    }
+
     /// Records the request as failed and closes the connection. Returns the head.
     pub(crate) fn fail(self) -> Parts {
         self.outstanding.finish(RequestOutcome::Failed);
         self.head
     }
 
-    /// Records that the response broke off and closes the connection.
-    pub(crate) fn break_off(self) {
-        self.outstanding.break_off();
-    }
-
     /// Releases the connection for reuse and records the request as answered. Returns
     /// the head.
     pub(crate) fn complete(self, worker: &Worker) -> Parts {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use base::Name;
+use cadence::prelude::*;
 use futures_util::Stream;
 use http::Response;
 use http::response::Parts;
@@ -16,14 +17,14 @@
 use ntex::io::IoRef;
 use ntex::util::Bytes;
 use resume::{StreamKey, StreamOrigin, StreamRecord};
-use sse::EventSplitter;
+use sse::OrderedEvents;
 use thiserror::Error as ThisError;
 use tokio::time::Instant;
 
 use crate::call::{AdmittedCall, HeldBody};
 use crate::connections::BusyConnection;
 use crate::headers::is_event_stream;
-use crate::reader::ResponseReader;
+use crate::reader::{ReadFailure, ResponseReader, RunFailure};
 use crate::report::{CallEnd, CallReport};
 use crate::send::{Attempts, send};
 use crate::streams::BegunStream;
@@ -124,11 +125,14 @@
     call: AdmittedCall,
     attempts: Attempts,
     reader: Option<ResponseReader>,
-    /// Bytes that were read before the response head was forwarded.
-    first_chunk: Option<hyper::body::Bytes>,
-    is_event_stream: bool,
-    /// Set only for streams that may be resumed from another target.
-    splitter: Option<EventSplitter>,
+    /// Bytes that are passed on next.
+    pending: Vec<u8>,
+    /// Why the current run does not go on, once what came before is passed on.
+    failure: Option<RunFailure>,
+    /// `None` if the response is no stream of events.
+    events: Option<OrderedEvents>,
+    /// Whether the stream may be resumed from another target.
+    is_resumable: bool,
     /// Set once the first event is passed on, if the stream can be named by its caller.
     begun: Option<BegunStream>,
     connection: Option<BusyConnection>,
@@ -137,21 +141,53 @@
 }
 
 impl StreamRelay {
-    /// Waits for the first bytes of the response.
+    /// Waits for the first bytes of the response; if it goes on with a stream of the caller, for
+    /// the first bytes that are passed on. `events` are those of the stream.
     ///
     /// # Errors
-    /// Returns a message if the target breaks off the response before that.
-    pub(crate) async fn open(mut reader: ResponseReader) -> Result<OpenStream, String> {
-        match reader.next_bytes().await {
-            Ok(first_chunk) => {
+    /// Returns a message if the target breaks off the response before that, or if its run is not
+    /// part of the stream.
+    pub(crate) async fn open(
+        mut reader: ResponseReader,
+        events: OrderedEvents,
+    ) -> Result<OpenStream, ReadFailure> {
+        let mut events = reader.is_event_stream().then_some(events);
+        let mut has_first_byte = false;
+        let failure = loop {
+            let bytes = match reader.next_bytes().await {
+                Ok(bytes) => bytes,
+                Err(cause) => break RunFailure::Lost(cause),
+            };
+            if !std::mem::replace(&mut has_first_byte, true) {
                 reader.record_first_byte();
-                Ok(OpenStream { reader, first_chunk })
             }
-            Err(cause) => {
-                reader.break_off();
-                Err(cause)
+            let Some(bytes) = bytes else {
+                if let Some(events) = &mut events
+                    && let Err(cause) = events.check_end(reader.run_end())
+                {
+                    break cause.into();
+                }
+                return Ok(OpenStream::new(reader, events, Vec::new()));
+            };
+            let Some(ordered) = &mut events else {
+                return Ok(OpenStream::new(reader, None, bytes.to_vec()));
+            };
+            let pushed = ordered.push(&bytes);
+            let failure = pushed.result.err().map(RunFailure::from);
+            let is_open = !pushed.passed.is_empty() || !ordered.awaits_event();
+            if is_open && (failure.is_none() || !pushed.passed.is_empty()) {
+                return Ok(OpenStream {
+                    failure,
+                    ..OpenStream::new(reader, events, pushed.passed)
+                });
+            }
+            if let Some(failure) = failure {
+                break failure;
             }
-        }
+        };
+        let cause = failure.to_string();
+        reader.end_run(&failure);
+        Err(ReadFailure::Lost(cause))
     }
 
     pub(crate) fn new(
@@ -163,21 +199,20 @@
         deadline: Instant,
         report: CallReport,
     ) -> Self {
-        let OpenStream { reader, first_chunk } = stream;
+        let OpenStream { reader, events, pending, failure } = stream;
         if let Some(connection) = &connection {
             connection.set_deadline(deadline);
         }
-        let is_event_stream = reader.is_event_stream();
-        let is_resumable = call.routed.route.kind.is_retryable() && is_event_stream;
-        let splitter = is_resumable.then(EventSplitter::default);
+        let is_resumable = call.routed.route.kind.is_retryable() && events.is_some();
         Self {
             worker,
             call,
             attempts,
             reader: Some(reader),
-            first_chunk,
-            is_event_stream,
-            splitter,
+            pending,
+            failure,
+            events,
+            is_resumable,
             begun: None,
             connection,
             deadline,
@@ -210,8 +245,7 @@
         let plain = self.reader.as_ref().filter(|reader| !reader.is_event_stream());
         let size =
             plain.and_then(ResponseReader::remaining_bytes).map_or(BodySize::Stream, |remaining| {
-                let first_len = self.first_chunk.as_ref().map_or(0, |chunk| chunk.len() as u64);
-                BodySize::Sized(remaining + first_len)
+                BodySize::Sized(remaining + self.pending.len() as u64)
             });
         let chunks = futures_util::stream::unfold(Some(self), |relay| async move {
             let mut relay = relay?;
@@ -233,50 +267,71 @@
     }
 
     async fn next(&mut self) -> Result<Option<Bytes>, RelayError> {
-        let bytes = self.next_part().await?;
-        if let Some(bytes) = bytes.as_ref().filter(|_| self.is_event_stream) {
-            self.report.record_events(bytes);
+        let part = self.next_part().await?;
+        if part.is_none() {
+            self.report.finish(CallEnd::Answered, "complete");
         }
-        Ok(bytes)
+        Ok(part.map(Bytes::from))
     }
 
-    async fn next_part(&mut self) -> Result<Option<Bytes>, RelayError> {
+    /// Returns the next bytes that are passed on.
+    async fn next_part(&mut self) -> Result<Option<Vec<u8>>, RelayError> {
         loop {
-            let bytes = match self.first_chunk.take() {
-                Some(chunk) => Ok(Some(chunk)),
-                None => self.read_next().await?,
-            };
-            match bytes {
-                Ok(Some(bytes)) => {
-                    let Some(splitter) = &mut self.splitter else {
-                        return Ok(Some(Bytes::copy_from_slice(&bytes)));
-                    };
-                    let events = splitter.push(&bytes);
-                    if splitter.has_passed_event() && self.begun.is_none() {
-                        self.record_begin();
-                    }
-                    if !events.is_empty() {
-                        return Ok(Some(Bytes::copy_from_slice(&events)));
-                    }
+            if !self.pending.is_empty() {
+                if self.must_record_begin() {
+                    self.record_begin();
                 }
-                Ok(None) => {
-                    let partial =
-                        self.splitter.as_mut().map(EventSplitter::take_partial).unwrap_or_default();
-                    if let Some(reader) = self.reader.take() {
-                        reader.record(&mut self.report);
-                        reader.complete(&self.worker);
-                    }
-                    if !partial.is_empty() {
-                        return Ok(Some(Bytes::copy_from_slice(&partial)));
-                    }
-                    self.report.finish(CallEnd::Answered, "complete");
-                    return Ok(None);
+                if self.events.is_some() {
+                    self.report.record_events(&self.pending);
                 }
-                Err(cause) => self.resume(cause).await?,
+                return Ok(Some(std::mem::take(&mut self.pending)));
+            }
+            if let Some(failure) = self.failure.take() {
+                self.resume(&failure).await?;
+            }
+            match self.read_next().await? {
+                Ok(Some(bytes)) => match &mut self.events {
+                    Some(events) => {
+                        let pushed = events.push(&bytes);
+                        self.pending = pushed.passed;
+                        self.failure = pushed.result.err().map(RunFailure::from);
+                    }
+                    None => self.pending = bytes.to_vec(),
+                },
+                Ok(None) => match self.end() {
+                    Ok(rest) if rest.is_empty() => return Ok(None),
+                    Ok(rest) => self.pending = rest,
+                    Err(failure) => self.failure = Some(failure),
+                },
+                Err(cause) => self.failure = Some(RunFailure::Lost(cause)),
             }
         }
     }
 
+    /// Whether the first event is about to be passed on.
+    fn must_record_begin(&self) -> bool {
+        let events = self.events.as_ref().filter(|_| self.is_resumable && self.begun.is_none());
+        events.is_some_and(OrderedEvents::has_passed_event)
+    }
+
+    /// Ends the stream with the current run; returns the rest of its bytes.
+    fn end(&mut self) -> Result<Vec<u8>, RunFailure> {
+        let Some(reader) = self.reader.take() else { return Ok(Vec::new()) };
+        let rest = match &mut self.events {
+            Some(events) => {
+                if let Err(cause) = events.check_end(reader.run_end()) {
+                    self.reader = Some(reader);
+                    return Err(cause.into());
+                }
+                reader.record(&mut self.report, false);
+                events.take_rest()
+            }
+            None => Vec::new(),
+        };
+        reader.complete(&self.worker);
+        Ok(rest)
+    }
+
     /// Reads the next bytes, unless the caller disconnects or the deadline passes.
     async fn read_next(
         &mut self,
@@ -296,30 +351,51 @@
         }
     }
 
+    /// Counts and logs a run that is not part of the stream, or whose end proves nothing.
+    fn record_failure(&self, failure: &RunFailure) {
+        let RunFailure::Order(cause) = failure else { return };
+        let metrics = &self.worker.context.metrics;
+        let name = if cause.is_fault() { "runs_rejected" } else { "stream_ends_unproven" };
+        metrics.incr(name).ok();
+        tracing::info!(
+            unit = "relay",
+            event = "run_rejected",
+            request = self.call.routed.id(),
+            target = self.attempts.tried.last().map(|target| &**target),
+            after = self.events.as_ref().and_then(OrderedEvents::last_id),
+            %cause,
+        );
+    }
+
     /// Resumes the stream from another target after the last complete event, if
     /// the route and the retry budget allow it.
-    async fn resume(&mut self, cause: String) -> Result<(), RelayError> {
+    async fn resume(&mut self, failure: &RunFailure) -> Result<(), RelayError> {
+        let cause = failure.to_string();
+        let target = self.attempts.tried.last().cloned();
         if let Some(reader) = self.reader.take() {
-            reader.record(&mut self.report);
-            reader.break_off();
+            let is_in_event = self.events.as_ref().is_some_and(OrderedEvents::is_in_event);
+            reader.record(&mut self.report, is_in_event);
+            reader.end_run(failure);
         }
+        self.record_failure(failure);
         let fail = |report: &mut CallReport, cause: String| {
             report.finish(CallEnd::Broken, &cause);
             Err(RelayError::TargetFailed(cause))
         };
-        let splitter = self.splitter.as_mut().filter(|splitter| splitter.can_resume());
-        let Some(splitter) = splitter else {
+        let events = self.events.as_mut().filter(|events| self.is_resumable && events.can_resume());
+        let Some(events) = events else {
             return fail(&mut self.report, cause);
         };
         if !crate::send::take_retry(&self.worker, &self.call, &self.attempts) {
             return fail(&mut self.report, cause);
         }
-        splitter.discard_partial();
-        self.attempts.last_event_id = splitter.last_id();
+        events.begin_run();
+        self.attempts.last_event_id = events.last_id();
         tracing::info!(
             unit = "relay",
             event = "resumed",
             request = self.call.routed.id(),
+            target = target.as_deref(),
             after = self.attempts.last_event_id,
             cause,
         );
@@ -354,11 +430,19 @@
 /// A stream whose first bytes have been read.
 pub(crate) struct OpenStream {
     reader: ResponseReader,
-    /// None if the stream has no bytes.
-    first_chunk: Option<hyper::body::Bytes>,
+    /// `None` if the response is no stream of events.
+    events: Option<OrderedEvents>,
+    /// Bytes that are passed on.
+    pending: Vec<u8>,
+    /// Why the run does not go on after them.
+    failure: Option<RunFailure>,
 }
 
 impl OpenStream {
+    fn new(reader: ResponseReader, events: Option<OrderedEvents>, pending: Vec<u8>) -> Self {
+        Self { reader, events, pending, failure: None }
+    }
+
     /// Returns the head of the target's response.
     pub(crate) fn head(&self) -> &Parts {
         self.reader.head()
--- a/crates/sse/src/boundary.rs
+++ b/crates/sse/src/boundary.rs
@@ -1,7 +1,5 @@
 //! Tracks where events end in a byte stream.
 
-use thiserror::Error;
-
 /// Place of the next byte within the lines of an event.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 enum LinePlace {
@@ -23,53 +21,17 @@
     place: LinePlace,
     /// Whether the last byte was a CR; an LF after it belongs to the same line end.
     is_after_cr: bool,
-    /// Whether an event has ended.
-    has_event: bool,
-}
-
-/// Why a stream whose bytes have ended is not complete.
-#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
-pub enum TruncationError {
-    #[error("stream ended inside an event")]
-    InEvent,
-    #[error("stream without a length ended before its first event")]
-    NoEvent,
 }
 
 impl EventBoundary {
-    /// Advances over `bytes`. Returns the length of the part of `bytes` after which
-    /// the stream was at the start of a line outside of events for the last time, 0 if
-    /// it never was.
-    pub fn advance(&mut self, bytes: &[u8]) -> usize {
-        let mut outside_len = 0;
-        for (index, byte) in bytes.iter().enumerate() {
-            self.advance_byte(*byte);
-            if self.place == LinePlace::Outside {
-                outside_len = index + 1;
-            }
-        }
-        outside_len
-    }
-
-    /// Checks whether the stream may end here. `is_marked` tells whether its sender
-    /// marked the end, by a length or a last chunk. Otherwise the stream ended with its
-    /// connection, which a sender that fails closes too.
-    ///
-    /// # Errors
-    /// Returns an error if the stream was broken off.
-    pub fn check_end(&self, is_marked: bool) -> Result<(), TruncationError> {
-        if self.is_in_event() {
-            return Err(TruncationError::InEvent);
-        }
-        if !is_marked && !self.has_event {
-            return Err(TruncationError::NoEvent);
-        }
-        Ok(())
+    /// Advances over `bytes`.
+    pub fn advance(&mut self, bytes: &[u8]) {
+        bytes.iter().for_each(|byte| self.advance_byte(*byte));
     }
 
-    /// Whether an event has ended.
-    pub fn has_event(&self) -> bool {
-        self.has_event
+    /// Whether the stream is at the start of a line, outside of events.
+    pub fn is_outside(&self) -> bool {
+        self.place == LinePlace::Outside
     }
 
     /// Whether the stream is inside an event: an event has begun, and its empty line
@@ -85,7 +47,6 @@
             return;
         }
         let is_line_end = matches!(byte, b'\n' | b'\r');
-        self.has_event |= self.place == LinePlace::LineStart && is_line_end;
         self.place = match self.place {
             LinePlace::Outside | LinePlace::OutsideComment | LinePlace::LineStart
                 if is_line_end =>
--- a/crates/sse/src/lib.rs
+++ b/crates/sse/src/lib.rs
@@ -1,9 +1,13 @@
-//! Boundaries of server-sent events in a byte stream. Does no I/O.
+//! Server-sent events in byte streams: where they end, and whether the run of a target goes on
+//! with the stream that a caller has. Does no I/O.
 
 mod boundary;
+mod events;
+mod order;
 mod splitter;
 mod trace;
 
-pub use boundary::{EventBoundary, TruncationError};
-pub use splitter::EventSplitter;
+pub use boundary::EventBoundary;
+pub use events::{OrderedEvents, PushedBytes};
+pub use order::{OrderError, RunEnd};
 pub use trace::EventTrace;
--- a/crates/sse/src/splitter.rs
+++ b/crates/sse/src/splitter.rs
@@ -1,74 +1,125 @@
-//! Splits an event stream into complete events, so that a stream that breaks off
-//! inside an event can be resumed from another target.
+//! Splits an event stream into complete events.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 use crate::boundary::EventBoundary;
 
-/// Largest event that is buffered until it is complete, in bytes. A larger
-/// event is passed on in parts, and its stream can't be resumed from then on.
-const MAX_EVENT_BYTES: usize = 256 << 10;
+/// Id of an event.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum EventId {
+    /// None, or one that is no number.
+    Unknown,
+    Number(u64),
+}
+
+/// A complete event.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct StreamEvent {
+    pub(crate) bytes: Vec<u8>,
+    pub(crate) id: EventId,
+}
+
+impl StreamEvent {
+    /// Returns a hash of the event's lines, whatever ends them.
+    pub(crate) fn digest(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        lines(&self.bytes).for_each(|line| line.hash(&mut hasher));
+        hasher.finish()
+    }
+}
+
+/// A part of a stream. All parts together are the bytes of the stream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum StreamPiece {
+    Event(StreamEvent),
+    /// Comments, empty lines, and fields that make no event without data or an id.
+    Filler(Vec<u8>),
+    /// A part of an event that is too large to be buffered, or what follows it.
+    Part(Vec<u8>),
+}
 
 /// Buffers the part of an event whose end has not been received yet.
-#[derive(Debug, Default)]
-pub struct EventSplitter {
+#[derive(Clone, Debug)]
+pub(crate) struct EventSplitter {
     boundary: EventBoundary,
+    /// Largest event that is buffered until it is complete, in bytes.
+    max_event_bytes: usize,
     partial: Vec<u8>,
-    /// Last event id that was passed on.
-    last_id: Option<u64>,
-    /// Whether part of an event was passed on before its end.
-    has_passed_part: bool,
-    /// Whether an event was passed on, at least in part.
-    has_passed_event: bool,
+    /// Whether part of an event was returned before its end.
+    has_returned_part: bool,
 }
 
 impl EventSplitter {
-    /// Appends received bytes and returns the events that are now complete, or
-    /// everything that is buffered if that exceeds [`MAX_EVENT_BYTES`].
-    pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
-        let buffered_len = self.partial.len();
-        self.partial.extend_from_slice(bytes);
-        let mut end = match self.boundary.advance(bytes) {
-            0 => 0,
-            outside_len => buffered_len + outside_len,
-        };
-        self.has_passed_part |= end == 0 && self.partial.len() > MAX_EVENT_BYTES;
-        if self.has_passed_part {
-            end = self.partial.len();
-        }
-        let complete: Vec<u8> = self.partial.drain(..end).collect();
-        let has_event = self.boundary.has_event() || self.has_passed_part;
-        self.has_passed_event |= !complete.is_empty() && has_event;
-        for line in complete.split(|byte| matches!(byte, b'\n' | b'\r')) {
-            let id = line.strip_prefix(b"id:").and_then(|id| std::str::from_utf8(id).ok());
-            if let Some(id) = id.and_then(|id| id.trim().parse().ok()) {
-                self.last_id = Some(id);
+    pub(crate) fn new(max_event_bytes: usize) -> Self {
+        let boundary = EventBoundary::default();
+        Self { boundary, max_event_bytes, partial: Vec::new(), has_returned_part: false }
+    }
+
+    /// Begins the run of another target. Discards the incomplete event of the run before.
+    pub(crate) fn restart(&mut self) {
+        *self = Self::new(self.max_event_bytes);
+    }
+
+    /// Appends received bytes and returns what is complete now, or everything that is
+    /// buffered if an event is too large.
+    pub(crate) fn push(&mut self, bytes: &[u8]) -> Vec<StreamPiece> {
+        let mut pieces = Vec::new();
+        let mut start = 0;
+        for (index, byte) in bytes.iter().enumerate() {
+            let was_in_event = self.boundary.is_in_event();
+            self.boundary.advance(std::slice::from_ref(byte));
+            if self.boundary.is_outside() && !self.has_returned_part {
+                self.partial.extend_from_slice(&bytes[start..=index]);
+                start = index + 1;
+                pieces.push(complete_piece(std::mem::take(&mut self.partial), was_in_event));
             }
         }
-        complete
+        self.partial.extend_from_slice(&bytes[start..]);
+        self.has_returned_part |= self.partial.len() > self.max_event_bytes;
+        if self.has_returned_part && !self.partial.is_empty() {
+            pieces.push(StreamPiece::Part(std::mem::take(&mut self.partial)));
+        }
+        pieces
     }
 
-    /// Whether another target may go on after [`EventSplitter::last_id`].
-    pub fn can_resume(&self) -> bool {
-        !self.has_passed_part
+    /// Whether the stream is inside an event.
+    pub(crate) fn is_in_event(&self) -> bool {
+        self.boundary.is_in_event()
     }
 
-    /// Whether an event was passed on, at least in part.
-    pub fn has_passed_event(&self) -> bool {
-        self.has_passed_event
+    /// Returns the bytes of the event or the comment that has not ended.
+    pub(crate) fn partial(&self) -> &[u8] {
+        &self.partial
     }
+}
 
-    /// Returns the last event id that was passed on.
-    pub fn last_id(&self) -> Option<u64> {
-        self.last_id
+fn complete_piece(bytes: Vec<u8>, is_event: bool) -> StreamPiece {
+    let id = event_id(&bytes);
+    let has_data = lines(&bytes).any(|line| field(line, b"data").is_some());
+    if is_event && (has_data || id.is_some()) {
+        StreamPiece::Event(StreamEvent { bytes, id: id.unwrap_or(EventId::Unknown) })
+    } else {
+        StreamPiece::Filler(bytes)
     }
+}
 
-    /// Discards the incomplete event of a stream that broke off.
-    pub fn discard_partial(&mut self) {
-        self.partial.clear();
-        self.boundary = EventBoundary::default();
-    }
+/// Returns the lines that are not empty, without what ends them.
+fn lines(bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
+    bytes.split(|byte| matches!(byte, b'\n' | b'\r')).filter(|line| !line.is_empty())
+}
 
-    /// Returns the bytes after the last complete event, once the stream has ended.
-    pub fn take_partial(&mut self) -> Vec<u8> {
-        std::mem::take(&mut self.partial)
+/// Returns the value of a line if its field has the name `name`.
+fn field<'a>(line: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
+    match line.strip_prefix(name)? {
+        [] => Some(&[]),
+        [b':', value @ ..] => Some(value),
+        _ => None,
     }
 }
+
+/// Returns the id of an event, `None` if it has no id field.
+fn event_id(bytes: &[u8]) -> Option<EventId> {
+    let value = lines(bytes).filter_map(|line| field(line, b"id")).last()?;
+    let number = std::str::from_utf8(value).ok().and_then(|value| value.trim().parse().ok());
+    Some(number.map_or(EventId::Unknown, EventId::Number))
+}
