fix: a stream ends as complete only if its end is proved (ORDER)

Callers got a truncated stream as complete: 11 of 40 events in 60 of 60 streams of gateways on, whose target has neither length nor chunks and whose connection ended in order between two events; on routes that may be resumed as well. Cause: the end of the connection was taken for the end of the stream, and the relay wrote its last chunk, a claim that the target had not made. A process that is killed closes its connections in order if it has read all that was sent to it, which nothing in the bytes tells from a whole stream. Change: an end that is not marked proves a stream to be whole only after as many events as the request's largest output has (by the published tokens per event). Otherwise the stream is resumed, if its route allows it: another target goes on, or confirms with a marked end that nothing follows. What can't be confirmed ends visibly. Weighed: taking the end for whole while the target still listens misses runs that fail by themselves; passing the missing claim on (a response without chunks) looks complete to callers; a whole stream that is called broken costs its caller a repeat, a truncated one that is called whole is wrong and nobody notices.

--- a/crates/sse/src/order.rs
+++ b/crates/sse/src/order.rs
@@ -199,7 +199,7 @@
             (None, RunEnd::Marked) => Ok(()),
             (None, RunEnd::Unmarked) if self.has_run_passed => {
                 self.has_ended_in_order = true;
-                Ok(())
+                Err(OrderError::UnmarkedEnd)
             }
             (None, RunEnd::Unmarked) => Err(OrderError::NoEvent),
             // Two targets ended in order after the same event, and one of them marked it.
--- a/crates/sse/tests/boundary.rs
+++ b/crates/sse/tests/boundary.rs
@@ -61,7 +61,7 @@
     };
     for text in ["data: a\n\n", "data: a\n\n: ping\n"] {
         assert_eq!(check(text, RunEnd::Marked), Ok(()), "{text:?}");
-        assert_eq!(check(text, RunEnd::Unmarked), Ok(()), "{text:?}");
+        assert_eq!(check(text, RunEnd::Unmarked), Err(OrderError::UnmarkedEnd), "{text:?}");
     }
     for end in [RunEnd::Marked, RunEnd::Unmarked] {
         for text in ["d", "data: a", "data: a\n", "data: a\n\nid", "data: a\n\nid: 2\r\n"] {
--- a/crates/sse/tests/order.rs
+++ b/crates/sse/tests/order.rs
@@ -135,3 +135,38 @@
         assert_eq!(stream.check_end(end), Err(OrderError::Empty { last: 2 }));
     }
 }
+
+/// Guards against a truncated stream that counts as complete: a target that fails between two
+/// events closes its connection in order.
+#[test]
+fn an_end_that_is_not_marked_is_confirmed_by_another_run() {
+    let unmarked = |ids: &[u64]| {
+        let mut stream = OrderedEvents::resumable(None);
+        assert_eq!(push(&mut stream, ids), Ok(events(ids)));
+        assert_eq!(stream.check_end(RunEnd::Unmarked), Err(OrderError::UnmarkedEnd));
+        stream.begin_run();
+        stream
+    };
+    assert_eq!(unmarked(&[1, 2]).check_end(RunEnd::Marked), Ok(()));
+    let empty = Err(OrderError::Empty { last: 2 });
+    assert_eq!(unmarked(&[1, 2]).check_end(RunEnd::Unmarked), empty);
+    let mut stream = unmarked(&[1, 2]);
+    assert_eq!(push(&mut stream, &[3]), Ok(events(&[3])));
+    stream.begin_run();
+    assert_eq!(stream.check_end(RunEnd::Marked), Err(OrderError::Empty { last: 3 }));
+}
+
+#[test]
+fn a_stream_with_as_many_events_as_it_can_have_is_whole() {
+    let stream = |max_events: u64| {
+        let mut stream = OrderedEvents::resumable(None).with_max_events(Some(max_events));
+        assert_eq!(push(&mut stream, &[1, 2]), Ok(events(&[1, 2])));
+        stream
+    };
+    assert_eq!(stream(2).check_end(RunEnd::Unmarked), Ok(()));
+    assert_eq!(stream(3).check_end(RunEnd::Unmarked), Err(OrderError::UnmarkedEnd));
+    // How many events the caller has already is not known.
+    let mut taken_up = OrderedEvents::resumable(Some(3)).with_max_events(Some(1));
+    assert_eq!(push(&mut taken_up, &[4]), Ok(events(&[4])));
+    assert_eq!(taken_up.check_end(RunEnd::Unmarked), Err(OrderError::UnmarkedEnd));
+}
