ctl: explain says which run was not passed on (ORDER)

The line run_rejected of a request was shown by its name only. The story now has the target, the event that the caller has and the cause. Test: the lines of a rejected run.

--- a/crates/ctl/src/logs.rs
+++ b/crates/ctl/src/logs.rs
@@ -149,6 +149,12 @@
                 field("after")
             )
         }
+        ("relay", "run_rejected") => format!(
+            "what target {} sent was not passed on after event {}: {}",
+            field("target"),
+            field("after"),
+            field("cause"),
+        ),
         ("streams", "taken_up") => format!(
             "takes up the stream of request {}, which goes on at software version {} of {} (by {})",
             field("resumed"),
--- a/crates/ctl/tests/logs.rs
+++ b/crates/ctl/tests/logs.rs
@@ -64,3 +64,17 @@
     assert!(text("r-3").contains("stream of request r-2"), "{}", text("r-3"));
     assert!(text("r-3").contains("software version v1 of app"), "{}", text("r-3"));
 }
+
+#[test]
+fn runs_that_do_not_go_on_with_their_stream_are_explained() {
+    let log = r#"
+2026-12-05T13:06:53.860230Z  INFO gateway::relay: unit="relay" event="run_rejected" request="r-1" target="t-2" after=11 cause="event 14 came after event 11, which leaves events out"
+2026-12-05T13:06:53.860231Z  INFO gateway::relay: unit="relay" event="resumed" request="r-1" target="t-2" after=11 cause="event 14 came after event 11, which leaves events out"
+"#;
+    let lines = read_lines(log.as_bytes());
+    let descriptions: Vec<String> =
+        trace_request(&lines, "r-1").into_iter().map(describe).collect();
+    assert_eq!(descriptions.len(), 2, "{descriptions:#?}");
+    assert!(descriptions[0].contains("target t-2 sent was not passed on after event 11"));
+    assert!(descriptions[0].contains("which leaves events out"), "{}", descriptions[0]);
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -363,7 +363,7 @@
             request = self.call.routed.id(),
             target = self.attempts.tried.last().map(|target| &**target),
             after = self.events.as_ref().and_then(OrderedEvents::last_id),
-            %cause,
+            cause = cause.to_string(),
         );
     }
 
