--- a/crates/gateway/src/reader.rs
+++ b/crates/gateway/src/reader.rs
@@ -4,12 +4,13 @@
 use http::response::Parts;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Bytes, Incoming};
-use outbound::{BodyFraming, Connection};
+use outbound::{BodyFraming, Connection, ListenerState, probe_listener};
 use sse::{OrderError, OrderedEvents, RunEnd};
 use target::RequestOutcome;
 use thiserror::Error;
 
 use crate::call::HeldBody;
+use crate::crashes::PROBE_TIMEOUT;
 use crate::headers::{is_event_stream, keep_alive_timeout};
 use crate::report::CallReport;
 use crate::send::{OutstandingRequest, TargetExchange};
@@ -152,6 +153,9 @@
                 return Err(self.lose(cause.into()));
             }
             body.extend_from_slice(&events.take_rest());
+        } else if self.run_end() == RunEnd::Unmarked && self.is_target_gone(worker).await {
+            let cause = "response has no length, and its target no longer listens";
+            return Err(self.lose(RunFailure::Lost(cause.into())));
         }
         if self.head.status.is_server_error() {
             return Ok((self.fail(), body.into()));
@@ -159,6 +163,14 @@
         Ok((self.complete(worker), body.into()))
     }
 
+    /// Whether the target does not listen any more, although it is not known to leave: it may have
+    /// been killed in the middle of a response, which closes the connection in order.
+    async fn is_target_gone(&self, worker: &Worker) -> bool {
+        let entry = &self.outstanding.entry;
+        probe_listener(entry.address, PROBE_TIMEOUT).await == ListenerState::Refused
+            && worker.context.targets().may_serve(entry, worker.context.now())
+    }
+
     fn lose(self, failure: RunFailure) -> ReadFailure {
         let cause = failure.to_string();
         self.end_run(&failure);
