--- a/crates/gateway/src/reader.rs
+++ b/crates/gateway/src/reader.rs
@@ -153,9 +153,8 @@
                 return Err(self.lose(cause.into()));
             }
             body.extend_from_slice(&events.take_rest());
-        } else if self.run_end() == RunEnd::Unmarked && self.is_target_gone(worker).await {
-            let cause = "response has no length, and its target no longer listens";
-            return Err(self.lose(RunFailure::Lost(cause.into())));
+        } else if let Err(failure) = self.check_plain_end(worker).await {
+            return Err(self.lose(failure));
         }
         if self.head.status.is_server_error() {
             return Ok((self.fail(), body.into()));
@@ -163,12 +162,22 @@
         Ok((self.complete(worker), body.into()))
     }
 
-    /// Whether the target does not listen any more, although it is not known to leave: it may have
-    /// been killed in the middle of a response, which closes the connection in order.
-    async fn is_target_gone(&self, worker: &Worker) -> bool {
+    /// Checks that a response that is no stream of events may end where it did. A target that is
+    /// killed in the middle of it closes the connection in order, and no longer listens.
+    ///
+    /// # Errors
+    /// Returns an error if the end is not marked and the target is gone, unless it is known to
+    /// leave.
+    pub(crate) async fn check_plain_end(&self, worker: &Worker) -> Result<(), RunFailure> {
         let entry = &self.outstanding.entry;
-        probe_listener(entry.address, PROBE_TIMEOUT).await == ListenerState::Refused
-            && worker.context.targets().may_serve(entry, worker.context.now())
+        if self.run_end() == RunEnd::Marked
+            || probe_listener(entry.address, PROBE_TIMEOUT).await != ListenerState::Refused
+            || !worker.context.targets().may_serve(entry, worker.context.now())
+        {
+            return Ok(());
+        }
+        let cause = "response has no length, and its target no longer listens";
+        Err(RunFailure::Lost(cause.into()))
     }
 
     fn lose(self, failure: RunFailure) -> ReadFailure {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -298,7 +298,7 @@
                     }
                     None => self.pending = bytes.to_vec(),
                 },
-                Ok(None) => match self.end() {
+                Ok(None) => match self.end().await {
                     Ok(rest) if rest.is_empty() => return Ok(None),
                     Ok(rest) => self.pending = rest,
                     Err(failure) => self.failure = Some(failure),
@@ -314,21 +314,23 @@
         events.is_some_and(OrderedEvents::has_passed_event)
     }
 
-    /// Ends the stream with the current run; returns the rest of its bytes.
-    fn end(&mut self) -> Result<Vec<u8>, RunFailure> {
-        let Some(reader) = self.reader.take() else { return Ok(Vec::new()) };
+    /// Ends the response with the current run; returns the rest of its bytes.
+    async fn end(&mut self) -> Result<Vec<u8>, RunFailure> {
+        let Some(reader) = &self.reader else { return Ok(Vec::new()) };
         let rest = match &mut self.events {
             Some(events) => {
-                if let Err(cause) = events.check_end(reader.run_end()) {
-                    self.reader = Some(reader);
-                    return Err(cause.into());
-                }
+                events.check_end(reader.run_end())?;
                 reader.record(&mut self.report, false);
                 events.take_rest()
             }
-            None => Vec::new(),
+            None => {
+                reader.check_plain_end(&self.worker).await?;
+                Vec::new()
+            }
         };
-        reader.complete(&self.worker);
+        if let Some(reader) = self.reader.take() {
+            reader.complete(&self.worker);
+        }
         Ok(rest)
     }
 
