fix: a run without events does not confirm the end of a stream (ORDER)

Callers got 2 of 6 events as a complete stream: its target failed in order between two events, without a length or chunks, and the next target answered with no event and a marked end, which counted as a confirmation. Change: to confirm an end, the next target is asked to go on one event earlier. A run that has the caller's last event once more, with the same lines, and then a marked end proves that the stream ends there; one that goes on is joined after the event that both have. Before: "is_complete: true" with 2 events; after: the test passes, as do those of streams that another target confirms or goes on with.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -392,7 +392,7 @@
             return fail(&mut self.report, cause);
         }
         events.begin_run();
-        self.attempts.last_event_id = events.last_id();
+        self.attempts.last_event_id = events.resume_id();
         tracing::info!(
             unit = "relay",
             event = "resumed",
--- a/crates/sse/src/events.rs
+++ b/crates/sse/src/events.rs
@@ -83,7 +83,8 @@
         rest
     }
 
-    /// Begins the run of another target, which is to go on after [`OrderedEvents::last_id`].
+    /// Begins the run of another target, which is to go on after
+    /// [`OrderedEvents::resume_id`].
     /// Discards the incomplete event of the run before.
     pub fn begin_run(&mut self) {
         self.splitter.restart();
@@ -111,6 +112,12 @@
         self.splitter.is_in_event()
     }
 
+    /// Returns the id of the event after which the next run is to go on: the last one, or the one
+    /// before if the end of the stream is to be confirmed. `None` if it is to begin the stream.
+    pub fn resume_id(&self) -> Option<u64> {
+        self.order.resume_id()
+    }
+
     /// Returns the id of the last event that the caller has.
     pub fn last_id(&self) -> Option<u64> {
         self.order.last_id()
--- a/crates/sse/src/order.rs
+++ b/crates/sse/src/order.rs
@@ -76,8 +76,8 @@
     passed_count: u64,
     /// Largest number of events that the stream can have, if it is known.
     max_events: Option<u64>,
-    /// Whether the caller had events before the first run.
-    is_taken_up: bool,
+    /// Id of the last event that the caller had before the first run.
+    taken_up_id: Option<u64>,
     /// The last events that were passed on, in order.
     passed: VecDeque<PassedEvent>,
     /// Largest difference between the ids of two successive events of a run; 0 if none is known.
@@ -89,8 +89,9 @@
     /// First event of a run that is ahead of the last one, until the next event tells whether
     /// events are missing between the two.
     ahead: Option<(u64, StreamEvent)>,
-    /// Whether a run ended in order after the last event.
-    has_ended_in_order: bool,
+    /// Whether a run ended in order after the last event, without a mark. Another run that has
+    /// that event once more proves whether the stream ends there.
+    must_confirm_end: bool,
 }
 
 impl Default for StreamOrder {
@@ -109,13 +110,13 @@
             has_passed_part: false,
             passed_count: 0,
             max_events: None,
-            is_taken_up: false,
+            taken_up_id: None,
             passed: VecDeque::new(),
             largest_step: 0,
             run_last_id: None,
             has_run_passed: false,
             ahead: None,
-            has_ended_in_order: false,
+            must_confirm_end: false,
         }
     }
 
@@ -125,7 +126,7 @@
             is_at_seam: true,
             last_id: Some(last_id),
             is_last_told: true,
-            is_taken_up: true,
+            taken_up_id: Some(last_id),
             ..Self::new()
         }
     }
@@ -133,7 +134,7 @@
     /// Sets the number of events after which a stream that begins here is whole, whatever marks
     /// its end.
     pub fn with_max_events(self, max_events: Option<u64>) -> Self {
-        let max_events = max_events.filter(|count| *count > 0 && !self.is_taken_up);
+        let max_events = max_events.filter(|count| *count > 0 && self.taken_up_id.is_none());
         Self { max_events, ..self }
     }
 
@@ -158,7 +159,17 @@
         is_told && !self.has_passed_part
     }
 
-    /// Begins the run of another target, which is to go on after [`StreamOrder::last_id`].
+    /// Returns the id of the event after which the next run is to go on: the last one, or the one
+    /// before if the end is to be confirmed. `None` if it is to begin the stream.
+    pub fn resume_id(&self) -> Option<u64> {
+        if !self.must_confirm_end {
+            return self.last_id;
+        }
+        let before_last = self.passed.iter().rev().nth(1).map(|event| event.id);
+        before_last.or(self.taken_up_id)
+    }
+
+    /// Begins the run of another target, which is to go on after [`StreamOrder::resume_id`].
     pub fn begin_run(&mut self) {
         self.is_at_seam = self.last_id.is_some();
         self.run_last_id = None;
@@ -190,7 +201,6 @@
     /// Returns an error if nothing proves that the stream is whole.
     pub fn check_end(&mut self, end: RunEnd) -> Result<(), OrderError> {
         self.check_no_event_ahead()?;
-        let is_confirmed = self.has_ended_in_order;
         let is_whole = self.max_events.is_some_and(|max_events| self.passed_count >= max_events);
         if is_whole {
             return Ok(());
@@ -198,12 +208,12 @@
         match (self.last_id.filter(|_| !self.has_run_passed), end) {
             (None, RunEnd::Marked) => Ok(()),
             (None, RunEnd::Unmarked) if self.has_run_passed => {
-                self.has_ended_in_order = true;
+                self.must_confirm_end = true;
                 Err(OrderError::UnmarkedEnd)
             }
             (None, RunEnd::Unmarked) => Err(OrderError::NoEvent),
-            // Two targets ended in order after the same event, and one of them marked it.
-            (Some(_), RunEnd::Marked) if is_confirmed => Ok(()),
+            // The run has the last event as well, and its end after it is marked.
+            (Some(last), RunEnd::Marked) if self.run_last_id == Some(last) => Ok(()),
             (Some(last), _) => Err(OrderError::Empty { last }),
         }
     }
@@ -277,7 +287,7 @@
         passed.extend_from_slice(&event.bytes);
         self.passed_count += 1;
         self.has_run_passed = true;
-        self.has_ended_in_order = false;
+        self.must_confirm_end = false;
         self.is_last_told = id.is_some();
         self.is_at_seam = false;
         let Some(id) = id else { return };
--- a/crates/sse/tests/order.rs
+++ b/crates/sse/tests/order.rs
@@ -136,26 +136,56 @@
     }
 }
 
+/// Returns a stream whose run had events with these ids and ended without a mark.
+fn unmarked_after(ids: &[u64]) -> OrderedEvents {
+    let mut stream = OrderedEvents::resumable(None);
+    assert_eq!(push(&mut stream, ids), Ok(events(ids)));
+    assert_eq!(stream.check_end(RunEnd::Unmarked), Err(OrderError::UnmarkedEnd));
+    stream.begin_run();
+    stream
+}
+
 /// Guards against a truncated stream that counts as complete: a target that fails between two
 /// events closes its connection in order.
 #[test]
-fn an_end_that_is_not_marked_is_confirmed_by_another_run() {
-    let unmarked = |ids: &[u64]| {
-        let mut stream = OrderedEvents::resumable(None);
-        assert_eq!(push(&mut stream, ids), Ok(events(ids)));
-        assert_eq!(stream.check_end(RunEnd::Unmarked), Err(OrderError::UnmarkedEnd));
-        stream.begin_run();
-        stream
-    };
-    assert_eq!(unmarked(&[1, 2]).check_end(RunEnd::Marked), Ok(()));
-    let empty = Err(OrderError::Empty { last: 2 });
-    assert_eq!(unmarked(&[1, 2]).check_end(RunEnd::Unmarked), empty);
-    let mut stream = unmarked(&[1, 2]);
-    assert_eq!(push(&mut stream, &[3]), Ok(events(&[3])));
+fn an_end_that_is_not_marked_is_confirmed_by_another_run_with_the_last_event() {
+    assert_eq!(unmarked_after(&[1]).resume_id(), None);
+    assert_eq!(unmarked_after(&[1, 2]).resume_id(), Some(1));
+    let mut stream = unmarked_after(&[1, 2]);
+    assert_eq!(push(&mut stream, &[2]), Ok(String::new()));
+    assert_eq!(stream.check_end(RunEnd::Unmarked), Err(OrderError::Empty { last: 2 }));
+    assert_eq!(stream.check_end(RunEnd::Marked), Ok(()));
+    let mut stream = unmarked_after(&[1, 2]);
+    assert_eq!(push(&mut stream, &[2, 3]), Ok(events(&[3])));
     stream.begin_run();
+    assert_eq!(stream.resume_id(), Some(3));
     assert_eq!(stream.check_end(RunEnd::Marked), Err(OrderError::Empty { last: 3 }));
 }
 
+/// Guards against a truncated stream that counts as complete: its target failed between two events,
+/// and the next one has no event but marks its end.
+#[test]
+fn a_run_without_events_does_not_confirm_an_end() {
+    for end in [RunEnd::Marked, RunEnd::Unmarked] {
+        let mut stream = unmarked_after(&[1, 2]);
+        assert_eq!(stream.check_end(end), Err(OrderError::Empty { last: 2 }));
+    }
+    let mut stream = unmarked_after(&[1, 2, 3]);
+    assert_eq!(push(&mut stream, &[1, 2]), Ok(String::new()));
+    assert_eq!(stream.check_end(RunEnd::Marked), Err(OrderError::Empty { last: 3 }));
+}
+
+#[test]
+fn the_end_of_a_stream_that_is_taken_up_is_confirmed_after_the_event_that_its_caller_names() {
+    let mut stream = OrderedEvents::resumable(Some(7));
+    assert_eq!(push(&mut stream, &[8]), Ok(events(&[8])));
+    assert_eq!(stream.check_end(RunEnd::Unmarked), Err(OrderError::UnmarkedEnd));
+    stream.begin_run();
+    assert_eq!(stream.resume_id(), Some(7));
+    assert_eq!(push(&mut stream, &[8]), Ok(String::new()));
+    assert_eq!(stream.check_end(RunEnd::Marked), Ok(()));
+}
+
 #[test]
 fn a_stream_with_as_many_events_as_it_can_have_is_whole() {
     let stream = |max_events: u64| {
