--- a/crates/gateway/src/reader.rs
+++ b/crates/gateway/src/reader.rs
@@ -199,12 +199,12 @@
     /// Closes the connection and records what the failure of a run says of its target.
     pub(crate) fn end_run(self, failure: &RunFailure) {
         match failure {
-            RunFailure::Lost(_) | RunFailure::Order(OrderError::InEvent) => {
+            RunFailure::Lost(_) | RunFailure::Order(OrderError::InEvent | OrderError::NoEvent) => {
                 self.outstanding.break_off();
             }
             RunFailure::Order(cause) if cause.is_fault() => drop(self.fail()),
             // The stream may be whole, which nothing proves.
-            RunFailure::Order(_) => self.outstanding.finish(RequestOutcome::Answered),
+            RunFailure::Order(_) => self.outstanding.end_in_order(),
         }
     }
 
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -77,6 +77,13 @@
     /// This is not recorded in the target's health while this thread is late, as the
     /// target may have given up on it.
     pub(crate) fn break_off(mut self) {
+        let is_late = self.record_crash_at_begin();
+        self.remove((!is_late).then_some(RequestOutcome::Failed));
+    }
+
+    /// Records that the target may have crashed as it began to write. Returns whether this thread
+    /// is late, so that the end says nothing about the target.
+    fn record_crash_at_begin(&mut self) -> bool {
         let now = self.worker.context.now();
         let is_late = self.worker.was_late_since(now);
         let has_just_begun =
@@ -84,7 +91,14 @@
         if !is_late && has_just_begun {
             record_crash(&self.worker, &self.entry, std::mem::take(&mut self.suspects));
         }
-        self.remove((!is_late).then_some(RequestOutcome::Failed));
+        is_late
+    }
+
+    /// Removes the request from the target's load and records that its response ended in order,
+    /// but may not be whole: its target may have crashed.
+    pub(crate) fn end_in_order(mut self) {
+        self.record_crash_at_begin();
+        self.remove(Some(RequestOutcome::Answered));
     }
 
     /// Records that the response was complete, which its target survived.
