--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -83,12 +83,10 @@
     /// Returns the events of the stream that the request begins or takes up, none of which has
     /// been received.
     pub(crate) fn events(&self) -> OrderedEvents {
-        let events = if self.routed.route.kind.is_resumable() {
-            OrderedEvents::resumable(self.routed.received.metadata.last_event_id)
-        } else {
-            OrderedEvents::of_one_run()
-        };
-        events.with_max_events(self.routed.max_events())
+        if !self.routed.route.kind.is_resumable() {
+            return OrderedEvents::of_one_run();
+        }
+        OrderedEvents::resumable(self.routed.received.metadata.last_event_id)
     }
 }
 
@@ -197,14 +195,6 @@
         spec.engine.as_ref().map(|engine| engine.memory_tokens)
     }
 
-    /// Returns the largest number of events of the response, if the request limits its tokens and
-    /// the service has model engines.
-    fn max_events(&self) -> Option<u64> {
-        let tokens = self.received.metadata.max_output_tokens?;
-        let engine = self.table.service(&self.service)?.engine.as_ref()?;
-        Some(u64::from(tokens.div_ceil(engine.tokens_per_event.max(1))))
-    }
-
     /// Returns the time left until the request times out, in milliseconds.
     pub(crate) fn remaining_ms(&self, now: Millis) -> u64 {
         self.expires_at.saturating_sub(now)
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -201,14 +201,15 @@
     call: &AdmittedCall,
     attempts: &mut Attempts,
 ) -> Result<ReadyResponse, Refusal> {
+    let mut events = call.events();
     loop {
         let exchange = send(worker, call, attempts).await?;
-        let is_stream =
-            call.routed.route.kind.is_stream() && exchange.response.status().is_success();
+        let is_success = exchange.response.status().is_success();
+        let is_stream = call.routed.route.kind.is_stream() && is_success;
         let result = if is_stream {
             let reader = ResponseReader::of_stream(exchange);
             if call.routed.received.accepts_chunks {
-                let stream = StreamRelay::open(reader, call.events()).await;
+                let stream = StreamRelay::open(reader, &mut events).await;
                 stream.map(|stream| ReadyResponse::Stream(Box::new(stream)))
             } else {
                 let events = reader.is_event_stream().then(|| call.events());
@@ -222,7 +223,8 @@
             Err(ReadFailure::Lost(cause)) => (cause, false),
             Err(cause @ ReadFailure::NoMemory) => (cause.to_string(), true),
         };
-        let is_retryable = call.routed.route.kind.is_retryable() && !is_own_lack;
+        let can_go_on = !is_stream || events.can_resume();
+        let is_retryable = call.routed.route.kind.is_retryable() && !is_own_lack && can_go_on;
         let will_retry = is_retryable && crate::send::take_retry(worker, call, attempts);
         tracing::info!(
             unit = "pipeline",
@@ -237,6 +239,8 @@
         if !will_retry {
             return Err(Refusal::new(RefusalCause::AnswerLost));
         }
+        events.begin_run();
+        attempts.last_event_id = events.resume_id();
     }
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use base::Name;
-use cadence::prelude::*;
 use futures_util::Stream;
 use http::Response;
 use http::response::Parts;
@@ -149,7 +148,7 @@
     /// part of the stream.
     pub(crate) async fn open(
         mut reader: ResponseReader,
-        events: OrderedEvents,
+        events: &mut OrderedEvents,
     ) -> Result<OpenStream, ReadFailure> {
         let mut events = reader.is_event_stream().then_some(events);
         let mut has_first_byte = false;
@@ -163,26 +162,24 @@
             }
             let Some(bytes) = bytes else {
                 if let Some(events) = &mut events
-                    && let Err(cause) = events.check_end(reader.run_end())
+                    && let Err(cause) = events.end_run(reader.run_end())
                 {
                     break cause.into();
                 }
-                return Ok(OpenStream::new(reader, events, Vec::new()));
+                return Ok(OpenStream::new(reader, events.cloned(), Vec::new()));
             };
-            let Some(ordered) = &mut events else {
+            let Some(events) = &mut events else {
                 return Ok(OpenStream::new(reader, None, bytes.to_vec()));
             };
-            let pushed = ordered.push(&bytes);
+            let pushed = events.push(&bytes);
             let failure = pushed.result.err().map(RunFailure::from);
-            let is_open = !pushed.passed.is_empty() || !ordered.awaits_event();
-            if is_open && (failure.is_none() || !pushed.passed.is_empty()) {
-                return Ok(OpenStream {
-                    failure,
-                    ..OpenStream::new(reader, events, pushed.passed)
-                });
-            }
-            if let Some(failure) = failure {
-                break failure;
+            match failure {
+                Some(failure) if pushed.passed.is_empty() => break failure,
+                None if events.is_unplaced() => {}
+                _ => {
+                    let stream = OpenStream::new(reader, Some(events.clone()), pushed.passed);
+                    return Ok(OpenStream { failure, ..stream });
+                }
             }
         };
         let cause = failure.to_string();
@@ -319,7 +316,7 @@
         let Some(reader) = &self.reader else { return Ok(Vec::new()) };
         let rest = match &mut self.events {
             Some(events) => {
-                events.check_end(reader.run_end())?;
+                events.end_run(reader.run_end())?;
                 reader.record(&mut self.report, false);
                 events.take_rest()
             }
@@ -353,12 +350,9 @@
         }
     }
 
-    /// Counts and logs a run that is not part of the stream, or whose end proves nothing.
-    fn record_failure(&self, failure: &RunFailure) {
+    /// Logs a run that is not part of the stream, or whose end proves nothing.
+    fn log_failure(&self, failure: &RunFailure) {
         let RunFailure::Order(cause) = failure else { return };
-        let metrics = &self.worker.context.metrics;
-        let name = if cause.is_fault() { "runs_rejected" } else { "stream_ends_unproven" };
-        metrics.incr(name).ok();
         tracing::info!(
             unit = "relay",
             event = "run_rejected",
@@ -379,7 +373,7 @@
             reader.record(&mut self.report, is_in_event);
             reader.end_run(failure);
         }
-        self.record_failure(failure);
+        self.log_failure(failure);
         let fail = |report: &mut CallReport, cause: String| {
             report.finish(CallEnd::Broken, &cause);
             Err(RelayError::TargetFailed(cause))
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -101,6 +101,11 @@
         self.remove(Some(RequestOutcome::Answered));
     }
 
+    /// Counts an event of the response.
+    pub(crate) fn count(&self, name: &str) {
+        self.worker.context.metrics.incr(name).ok();
+    }
+
     /// Records that the response was complete, which its target survived.
     pub(crate) fn record_complete(&self) {
         record_complete(&self.worker.context, &self.suspects);
--- a/crates/sse/src/events.rs
+++ b/crates/sse/src/events.rs
@@ -23,7 +23,8 @@
 pub struct OrderedEvents {
     splitter: EventSplitter,
     order: StreamOrder,
-    /// Whether parts of events are passed on at once. Otherwise only whole events are.
+    /// Whether parts of events are passed on at once. Otherwise only whole events are, until one
+    /// is too large, as the stream can't be resumed after its first part.
     passes_parts: bool,
     /// Bytes of the incomplete event that were passed on.
     partial_passed: usize,
@@ -41,13 +42,7 @@
     /// Creates the events of a stream of one run, of which parts are passed on at once.
     pub fn of_one_run() -> Self {
         let splitter = EventSplitter::new(MAX_CHECKED_BYTES);
-        Self { splitter, passes_parts: true, ..Self::resumable(None) }
-    }
-
-    /// Sets the number of events after which a stream that begins here is whole, whatever marks
-    /// its end.
-    pub fn with_max_events(self, max_events: Option<u64>) -> Self {
-        Self { order: self.order.with_max_events(max_events), ..self }
+        Self { splitter, order: StreamOrder::of_one_run(), passes_parts: true, partial_passed: 0 }
     }
 
     /// Appends bytes of the current run. After an error, the run must not be read any further.
@@ -55,6 +50,7 @@
         let mut passed = Vec::with_capacity(bytes.len());
         let mut pieces = self.splitter.push(bytes).into_iter();
         let result = pieces.try_for_each(|piece| self.order.push(piece, &mut passed));
+        self.passes_parts |= self.order.has_passed_part();
         if self.passes_parts {
             if result.is_ok() {
                 passed.extend_from_slice(self.splitter.partial());
@@ -65,15 +61,15 @@
         PushedBytes { passed, result }
     }
 
-    /// Checks whether the stream may end with the current run, whose bytes have ended.
+    /// Ends the current run, whose bytes have ended.
     ///
     /// # Errors
     /// Returns an error if nothing proves that the stream is whole.
-    pub fn check_end(&mut self, end: RunEnd) -> Result<(), OrderError> {
+    pub fn end_run(&mut self, end: RunEnd) -> Result<(), OrderError> {
         if self.splitter.is_in_event() {
             return Err(OrderError::InEvent);
         }
-        self.order.check_end(end)
+        self.order.end_run(end)
     }
 
     /// Returns what is left of a stream that may end: a comment without a line end.
@@ -87,8 +83,9 @@
     /// [`OrderedEvents::resume_id`].
     /// Discards the incomplete event of the run before.
     pub fn begin_run(&mut self) {
+        let was_in_event = self.splitter.is_in_event();
         self.splitter.restart();
-        self.order.begin_run();
+        self.order.begin_run(was_in_event);
     }
 
     /// Whether the run of another target may go on with the stream.
@@ -96,10 +93,10 @@
         !self.passes_parts && self.order.can_resume()
     }
 
-    /// Whether nothing may be passed on before the first event, as it tells whether the run goes
-    /// on with the stream.
-    pub fn awaits_event(&self) -> bool {
-        self.order.is_at_seam()
+    /// Whether the current run is to go on with the stream, and it is not known yet that it does.
+    /// Nothing is passed on before.
+    pub fn is_unplaced(&self) -> bool {
+        self.order.is_unplaced()
     }
 
     /// Whether an event was passed on, at least in part.
@@ -113,7 +110,7 @@
     }
 
     /// Returns the id of the event after which the next run is to go on: the last one, or the one
-    /// before if the end of the stream is to be confirmed. `None` if it is to begin the stream.
+    /// before if the run is to have the last one once more. `None` if it is to begin the stream.
     pub fn resume_id(&self) -> Option<u64> {
         self.order.resume_id()
     }
--- a/crates/sse/src/splitter.rs
+++ b/crates/sse/src/splitter.rs
@@ -34,8 +34,12 @@
     Event(StreamEvent),
     /// Comments, empty lines, and fields that make no event without data or an id.
     Filler(Vec<u8>),
-    /// A part of an event that is too large to be buffered, or what follows it.
-    Part(Vec<u8>),
+    /// A part of an event that is too large to be buffered. Its first part has the event's id, if
+    /// that is a number and comes early enough.
+    Part {
+        bytes: Vec<u8>,
+        id: Option<u64>,
+    },
 }
 
 /// Buffers the part of an event whose end has not been received yet.
@@ -45,7 +49,7 @@
     /// Largest event that is buffered until it is complete, in bytes.
     max_event_bytes: usize,
     partial: Vec<u8>,
-    /// Whether part of an event was returned before its end.
+    /// Whether part of the current event was returned.
     has_returned_part: bool,
 }
 
@@ -68,20 +72,35 @@
         for (index, byte) in bytes.iter().enumerate() {
             let was_in_event = self.boundary.is_in_event();
             self.boundary.advance(std::slice::from_ref(byte));
-            if self.boundary.is_outside() && !self.has_returned_part {
-                self.partial.extend_from_slice(&bytes[start..=index]);
-                start = index + 1;
-                pieces.push(complete_piece(std::mem::take(&mut self.partial), was_in_event));
+            // The LF of a CRLF belongs to the line that the CR ended.
+            if self.boundary.is_outside() && index >= start {
+                let is_crlf = bytes[index..].starts_with(b"\r\n");
+                let end = index + 1 + usize::from(is_crlf);
+                self.partial.extend_from_slice(&bytes[start..end]);
+                start = end;
+                pieces.push(self.take_complete(was_in_event));
             }
         }
         self.partial.extend_from_slice(&bytes[start..]);
+        let is_first = !self.has_returned_part;
         self.has_returned_part |= self.partial.len() > self.max_event_bytes;
         if self.has_returned_part && !self.partial.is_empty() {
-            pieces.push(StreamPiece::Part(std::mem::take(&mut self.partial)));
+            let bytes = std::mem::take(&mut self.partial);
+            let id = if is_first { started_id(&bytes) } else { None };
+            pieces.push(StreamPiece::Part { bytes, id });
         }
         pieces
     }
 
+    fn take_complete(&mut self, is_event: bool) -> StreamPiece {
+        let bytes = std::mem::take(&mut self.partial);
+        if std::mem::take(&mut self.has_returned_part) {
+            StreamPiece::Part { bytes, id: None }
+        } else {
+            complete_piece(bytes, is_event)
+        }
+    }
+
     /// Whether the stream is inside an event.
     pub(crate) fn is_in_event(&self) -> bool {
         self.boundary.is_in_event()
@@ -123,3 +142,12 @@
     let number = std::str::from_utf8(value).ok().and_then(|value| value.trim().parse().ok());
     Some(number.map_or(EventId::Unknown, EventId::Number))
 }
+
+/// Returns the id of an event whose last line may be incomplete.
+fn started_id(bytes: &[u8]) -> Option<u64> {
+    let end = bytes.iter().rposition(|byte| matches!(byte, b'\n' | b'\r'))?;
+    match event_id(&bytes[..end])? {
+        EventId::Number(id) => Some(id),
+        EventId::Unknown => None,
+    }
+}
