--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use base::Name;
+use http::StatusCode;
 use http::response::Parts;
 use ntex::http::{ConnectionType, Request, Response};
 use sse::OrderedEvents;
@@ -204,8 +205,9 @@
     let mut events = call.events();
     loop {
         let exchange = send(worker, call, attempts).await?;
-        let is_success = exchange.response.status().is_success();
-        let is_stream = call.routed.route.kind.is_stream() && is_success;
+        let status = exchange.response.status();
+        let has_body = status.is_success() && status != StatusCode::NO_CONTENT;
+        let is_stream = call.routed.route.kind.is_stream() && has_body;
         let result = if is_stream {
             let reader = ResponseReader::of_stream(exchange);
             if call.routed.received.accepts_chunks {
