fix: the router joins the run of an engine only if its tokens are those that the caller has (ORDER)

Cause: tokens below the next index were dropped without a look at their data. That the run goes on with the same generation was asked (`resume_from`) and taken for granted. A token that the caller has with other data, or one that is no longer remembered, ends the run as broken, and so does one that does not follow the token before it in its run; the stream is resumed elsewhere within the attempts and the retry budget, or ends with `stream_broken`. The same generation from its start is joined as before. Not told by this: a run that begins at the token that was asked for, with another generation. Engines of the stand-in can begin again, begin another generation, leave tokens out or end at once when they are to resume a stream.

--- a/crates/bench/tests/processes/main.rs
+++ b/crates/bench/tests/processes/main.rs
@@ -3,6 +3,7 @@
 
 mod at_most_once;
 mod bad_input;
+mod continuation;
 mod fixture;
 mod lifecycle;
 mod truncation;
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -10,6 +10,7 @@
 use http::Method;
 use ntex::util::Bytes;
 use serde_json::Value;
+use sse::{TokenOrder, TokenPlace};
 use tokio::sync::mpsc;
 
 use crate::context::RouterContext;
@@ -48,7 +49,7 @@
 
 /// Position in the response, across all engines that contributed to it.
 struct StreamProgress {
-    next_token: u64,
+    order: TokenOrder,
     bytes: usize,
 }
 
@@ -84,15 +85,18 @@
     mut attempt: u32,
     sender: &mpsc::UnboundedSender<Bytes>,
 ) {
-    let mut progress = StreamProgress { next_token: 0, bytes: 0 };
+    let mut progress = StreamProgress { order: TokenOrder::default(), bytes: 0 };
     loop {
-        let start = progress.next_token;
+        let start = progress.order.next_token();
         let end = read_stream(&mut stream, &mut progress, sender).await;
-        let cost = (progress.next_token - start) as f64;
+        let cost = (progress.order.next_token() - start) as f64;
         match end {
             StreamEnd::Done => {
                 stream.permit.settle(cost);
-                let done = format!("event: done\ndata: {{\"tokens\":{}}}\n\n", progress.next_token);
+                let done = format!(
+                    "event: done\ndata: {{\"tokens\":{}}}\n\n",
+                    progress.order.next_token()
+                );
                 // Sending fails only if the caller has disconnected.
                 let _ = sender.send(Bytes::from(done));
                 return;
@@ -129,14 +133,15 @@
                 let queued = stream.request.retry_idempotent();
                 pause_before_retry(&queued.id, attempt).await;
                 let id = queued.id.clone();
-                let resumed = open_stream(context, queued, body, progress.next_token, &mut attempt);
+                let resumed =
+                    open_stream(context, queued, body, progress.order.next_token(), &mut attempt);
                 let resumed = tokio::select! {
                     resumed = resumed => resumed,
                     () = sender.closed() => return,
                 };
                 match resumed {
                     Ok(resumed) => {
-                        let at = progress.next_token;
+                        let at = progress.order.next_token();
                         let target = &resumed.permit.target;
                         tracing::info!(unit = "stream", event = "resumed", request = id, %target, at);
                         stream = resumed;
@@ -211,22 +216,20 @@
     sender: &mpsc::UnboundedSender<Bytes>,
 ) -> StreamEnd {
     let mut parser = SseParser::default();
-    let start = progress.next_token;
+    let start = progress.order.next_token();
+    progress.order.begin_run();
     loop {
         loop {
             match parser.next_event() {
                 Ok(None) => break,
                 Ok(Some(EngineEvent::Done)) => return StreamEnd::Done,
-                Ok(Some(EngineEvent::Token { index, .. })) if index < progress.next_token => {}
-                Ok(Some(EngineEvent::Token { index, .. })) if index > progress.next_token => {
-                    return StreamEnd::Broken(format!(
-                        "token {index} came before {}",
-                        progress.next_token
-                    ));
-                }
-                Ok(Some(EngineEvent::Token { data, .. })) => {
+                Ok(Some(EngineEvent::Token { index, data })) => {
+                    match progress.order.place(index, &data) {
+                        Ok(TokenPlace::Next) => {}
+                        Ok(TokenPlace::Known) => continue,
+                        Err(cause) => return StreamEnd::Broken(cause.to_string()),
+                    }
                     let chunk = Bytes::from(format!("data: {data}\n\n"));
-                    progress.next_token += 1;
                     progress.bytes += chunk.len();
                     if progress.bytes > MAX_STREAM_BYTES {
                         return StreamEnd::TooLarge;
@@ -234,7 +237,7 @@
                     if sender.send(chunk).is_err() {
                         return StreamEnd::CallerLeft;
                     }
-                    let tokens = progress.next_token - start;
+                    let tokens = progress.order.next_token() - start;
                     if tokens.is_multiple_of(COST_UPDATE_TOKENS) {
                         stream.permit.record_progress(tokens as f64);
                     }
--- a/crates/sse/src/lib.rs
+++ b/crates/sse/src/lib.rs
@@ -5,9 +5,11 @@
 mod events;
 mod order;
 mod splitter;
+mod tokens;
 mod trace;
 
 pub use boundary::EventBoundary;
 pub use events::{OrderedEvents, PushedBytes};
 pub use order::{OrderError, RunEnd};
+pub use tokens::{TokenError, TokenOrder, TokenPlace};
 pub use trace::EventTrace;
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -65,6 +65,8 @@
     break_after: Option<u64>,
     /// Answers new requests with bytes that are not an event instead of a stream.
     garbage: bool,
+    /// What the engine does with streams that it is to resume.
+    resume: ResumeFault,
     /// Fencing token of the last accepted order.
     fence: u64,
     /// Model that is being served, if any.
@@ -108,11 +110,30 @@
     resume_from: u64,
 }
 
+/// What an engine does with a stream that it is to resume.
+#[derive(Clone, Copy, Default, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum ResumeFault {
+    /// Goes on with the token that it was asked for.
+    #[default]
+    None,
+    /// Begins again with the first token.
+    Repeat,
+    /// Begins again with the first token of another generation.
+    Regenerate,
+    /// Leaves out two tokens.
+    Skip,
+    /// Ends the stream without a token.
+    End,
+}
+
 #[derive(Deserialize)]
 struct EngineFault {
     break_after: Option<u64>,
     #[serde(default)]
     garbage: bool,
+    #[serde(default)]
+    resume: ResumeFault,
 }
 
 #[derive(Deserialize)]
@@ -185,6 +206,7 @@
     let mut stats = replica.lock_stats();
     stats.break_after = fault.break_after;
     stats.garbage = fault.garbage;
+    stats.resume = fault.resume;
     HttpResponse::NoContent().finish()
 }
 
@@ -288,8 +310,19 @@
     active: ActiveStream,
     request: GenerateRequest,
 ) -> impl futures_util::Stream<Item = TokenResult> + Unpin {
-    let next = request.resume_from;
-    let break_at = active.replica.lock_stats().break_after.map(|count| next + count);
+    let (break_after, fault) = {
+        let stats = active.replica.lock_stats();
+        (stats.break_after, stats.resume)
+    };
+    let fault = if request.resume_from > 0 { fault } else { ResumeFault::None };
+    let next = match fault {
+        ResumeFault::None => request.resume_from,
+        ResumeFault::Repeat | ResumeFault::Regenerate => 0,
+        ResumeFault::Skip => request.resume_from + 2,
+        ResumeFault::End => request.tokens,
+    };
+    let break_at = break_after.filter(|_| fault == ResumeFault::None).map(|count| next + count);
+    let label = if fault == ResumeFault::Regenerate { "again-" } else { "" };
     let state = (active, request, next);
     Box::pin(futures_util::stream::unfold(state, move |(active, request, next)| async move {
         if next > request.tokens {
@@ -304,7 +337,7 @@
         }
         tokio::time::sleep(Duration::from_millis(active.replica.settings.token_ms)).await;
         active.replica.lock_stats().tokens += 1;
-        let event: Value = json!({ "i": next, "t": format!("{}-{next} ", request.nonce) });
+        let event: Value = json!({ "i": next, "t": format!("{}-{label}{next} ", request.nonce) });
         Some((Ok(Bytes::from(format!("data: {event}\n\n"))), (active, request, next + 1)))
     }))
 }
