fix: an empty or short run of an engine does not complete a stream that broke off (ORDER)

Callers of poplar-router got `done` after 6 of 15 tokens, if an engine broke off and the one that was to resume the stream sent `[DONE]` without a token. The same where a run that began again ended before the last token that the caller had. Cause: `[DONE]` was taken for the end of the stream whatever run it ended. Class: the end of a message taken for that of another. Evidence: continuation::an_empty_run_does_not_complete_a_stream, before: left: (Crossed("clean end after 6 of 15 tokens"), 6) right: (Unknown { code: "stream_broken" }, 6) Change: a run may end the stream only if it reached the last token that the caller has (sse::TokenOrder::check_end, without network). The request does not name the number of tokens (docs/PROTOCOL.md leaves the body to caller and engine), so that no count proves the end. After an empty run the next one is asked for the last token too: with the same data, its end is that of the same generation, so that a whole stream which broke off just before `[DONE]` is still completed; a test plays it. An empty run does not count against its engine, as it may be right. Cost: a whole stream that broke off just before `[DONE]` takes one attempt more, and ends as `stream_broken` if none is left.

--- a/crates/bench/tests/processes/continuation.rs
+++ b/crates/bench/tests/processes/continuation.rs
@@ -52,3 +52,25 @@
         Ok(())
     });
 }
+
+/// Guards against a stream that broke off and is reported as done, since the engine that is to
+/// resume it sends no token.
+#[test]
+fn an_empty_run_does_not_complete_a_stream() {
+    with_fleet(1, |fleet, caller| async move {
+        let result = stream_with(&fleet, &caller, "end", 15).await?;
+        assert_eq!((result.end, result.tokens), (broken(), 6));
+        Ok(())
+    });
+}
+
+/// Guards against a whole stream that is broken, since it broke off between its last token and its
+/// end.
+#[test]
+fn a_stream_that_broke_off_after_its_last_token_is_completed() {
+    with_fleet(1, |fleet, caller| async move {
+        let result = stream_with(&fleet, &caller, "none", 6).await?;
+        assert_eq!((result.end, result.tokens), (CallEnd::Answered, 6));
+        Ok(())
+    });
+}
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -10,7 +10,7 @@
 use http::Method;
 use ntex::util::Bytes;
 use serde_json::Value;
-use sse::{TokenOrder, TokenPlace};
+use sse::{TokenError, TokenOrder, TokenPlace};
 use tokio::sync::mpsc;
 
 use crate::context::RouterContext;
@@ -43,10 +43,29 @@
 enum StreamEnd {
     Done,
     CallerLeft,
-    Broken(String),
+    Broken(BrokenRun),
     TooLarge,
 }
 
+/// Why the run of an engine has ended although the stream goes on.
+struct BrokenRun {
+    cause: String,
+    /// Whether the engine is at fault.
+    is_fault: bool,
+}
+
+impl From<String> for BrokenRun {
+    fn from(cause: String) -> Self {
+        Self { cause, is_fault: true }
+    }
+}
+
+impl From<TokenError> for BrokenRun {
+    fn from(error: TokenError) -> Self {
+        Self { cause: error.to_string(), is_fault: error.is_fault() }
+    }
+}
+
 /// Position in the response, across all engines that contributed to it.
 struct StreamProgress {
     order: TokenOrder,
@@ -93,10 +112,8 @@
         match end {
             StreamEnd::Done => {
                 stream.permit.settle(cost);
-                let done = format!(
-                    "event: done\ndata: {{\"tokens\":{}}}\n\n",
-                    progress.order.next_token()
-                );
+                let tokens = progress.order.next_token();
+                let done = format!("event: done\ndata: {{\"tokens\":{tokens}}}\n\n");
                 // Sending fails only if the caller has disconnected.
                 let _ = sender.send(Bytes::from(done));
                 return;
@@ -115,11 +132,15 @@
                 );
                 return;
             }
-            StreamEnd::Broken(cause) => {
+            StreamEnd::Broken(run) => {
                 let target = &stream.permit.target;
-                log_failed_attempt(&stream.request.id, target, "stream", attempt, &cause);
+                log_failed_attempt(&stream.request.id, target, "stream", attempt, &run.cause);
                 stream.permit.record_progress(cost);
-                stream.permit.fail();
+                if run.is_fault {
+                    stream.permit.fail();
+                } else {
+                    stream.permit.settle(cost);
+                }
                 attempt += 1;
                 let may_retry =
                     attempt <= MAX_ATTEMPTS && context.core().retries.take(context.now());
@@ -133,15 +154,14 @@
                 let queued = stream.request.retry_idempotent();
                 pause_before_retry(&queued.id, attempt).await;
                 let id = queued.id.clone();
-                let resumed =
-                    open_stream(context, queued, body, progress.order.next_token(), &mut attempt);
+                let at = progress.order.resume_from();
+                let resumed = open_stream(context, queued, body, at, &mut attempt);
                 let resumed = tokio::select! {
                     resumed = resumed => resumed,
                     () = sender.closed() => return,
                 };
                 match resumed {
                     Ok(resumed) => {
-                        let at = progress.order.next_token();
                         let target = &resumed.permit.target;
                         tracing::info!(unit = "stream", event = "resumed", request = id, %target, at);
                         stream = resumed;
@@ -222,12 +242,18 @@
         loop {
             match parser.next_event() {
                 Ok(None) => break,
-                Ok(Some(EngineEvent::Done)) => return StreamEnd::Done,
+                Ok(Some(EngineEvent::Done)) => {
+                    let end = progress.order.check_end();
+                    return end.map_or_else(
+                        |cause| StreamEnd::Broken(cause.into()),
+                        |()| StreamEnd::Done,
+                    );
+                }
                 Ok(Some(EngineEvent::Token { index, data })) => {
                     match progress.order.place(index, &data) {
                         Ok(TokenPlace::Next) => {}
                         Ok(TokenPlace::Known) => continue,
-                        Err(cause) => return StreamEnd::Broken(cause.to_string()),
+                        Err(cause) => return StreamEnd::Broken(cause.into()),
                     }
                     let chunk = Bytes::from(format!("data: {data}\n\n"));
                     progress.bytes += chunk.len();
@@ -242,7 +268,7 @@
                         stream.permit.record_progress(tokens as f64);
                     }
                 }
-                Err(cause) => return StreamEnd::Broken(cause.to_string()),
+                Err(cause) => return StreamEnd::Broken(cause.to_string().into()),
             }
         }
         let timeout = Duration::from_millis(ENGINE_SILENCE_MS);
@@ -252,9 +278,15 @@
         };
         match chunk {
             Ok(Ok(Some(bytes))) => parser.push(&bytes),
-            Ok(Err(cause)) => return StreamEnd::Broken(cause),
-            Ok(Ok(None)) => return StreamEnd::Broken("stream ended before its last event".into()),
-            Err(_) => return StreamEnd::Broken(format!("silent for {ENGINE_SILENCE_MS} ms")),
+            Ok(Err(cause)) => return StreamEnd::Broken(cause.into()),
+            Ok(Ok(None)) => {
+                let cause = "stream ended before its last event".to_owned();
+                return StreamEnd::Broken(cause.into());
+            }
+            Err(_) => {
+                let cause = format!("silent for {ENGINE_SILENCE_MS} ms");
+                return StreamEnd::Broken(cause.into());
+            }
         }
     }
 }
--- a/crates/sse/src/tokens.rs
+++ b/crates/sse/src/tokens.rs
@@ -28,6 +28,18 @@
     /// The run has a token that the caller has with other data, or it is not known with which.
     #[error("token {index} is not known to be the one that the caller has")]
     Different { index: u64 },
+    #[error("run ended after {tokens} tokens, of which the caller has {passed}")]
+    Short { tokens: u64, passed: u64 },
+    /// The run had no token and may have been another generation.
+    #[error("run that goes on after {passed} tokens has none")]
+    Empty { passed: u64 },
+}
+
+impl TokenError {
+    /// Whether the engine is at fault. An empty run may be the end of a whole stream.
+    pub fn is_fault(self) -> bool {
+        !matches!(self, Self::Empty { .. })
+    }
 }
 
 /// The order of a stream's tokens, across all runs that contribute to it.
@@ -39,6 +51,9 @@
     passed: VecDeque<u64>,
     /// Index that follows the last token of the current run, `None` before its first one.
     run_next: Option<u64>,
+    /// Whether a run had no token. The next one is to begin with the last token that the caller
+    /// has, which shows that its end is that of the same generation.
+    is_end_suspected: bool,
 }
 
 impl TokenOrder {
@@ -47,6 +62,11 @@
         self.next_token
     }
 
+    /// Returns the token with which the run of another engine is to begin.
+    pub fn resume_from(&self) -> u64 {
+        self.next_token.saturating_sub(u64::from(self.is_end_suspected))
+    }
+
     /// Begins the run of another engine.
     pub fn begin_run(&mut self) {
         self.run_next = None;
@@ -71,6 +91,7 @@
             return Ok(TokenPlace::Known);
         }
         self.next_token += 1;
+        self.is_end_suspected = false;
         if self.passed.len() == MAX_REMEMBERED_TOKENS {
             self.passed.pop_front();
         }
@@ -78,6 +99,22 @@
         Ok(TokenPlace::Next)
     }
 
+    /// Checks whether the stream may end with the current run, which its engine ended.
+    ///
+    /// # Errors
+    /// Returns an error if nothing proves that the stream is whole.
+    pub fn check_end(&mut self) -> Result<(), TokenError> {
+        let passed = self.next_token;
+        match self.run_next {
+            None if passed > 0 => {
+                self.is_end_suspected = true;
+                Err(TokenError::Empty { passed })
+            }
+            Some(tokens) if tokens < passed => Err(TokenError::Short { tokens, passed }),
+            None | Some(_) => Ok(()),
+        }
+    }
+
     /// Returns the hash of a token that the caller has, if it is remembered.
     fn passed_digest(&self, index: u64) -> Option<u64> {
         let age = usize::try_from(self.next_token.checked_sub(index)?).ok()?;
--- a/crates/sse/tests/tokens.rs
+++ b/crates/sse/tests/tokens.rs
@@ -56,3 +56,37 @@
     assert_eq!(order.clone().place(4_990, "same"), Ok(TokenPlace::Known));
     assert_eq!(order.place(0, "same"), Err(TokenError::Different { index: 0 }));
 }
+
+/// Guards against a stream that broke off and counts as whole after a run without a token.
+#[test]
+fn an_empty_run_is_no_end_until_the_last_token_confirms_it() {
+    let mut order = order_of_six();
+    assert_eq!(order.resume_from(), 6);
+    assert_eq!(order.check_end(), Err(TokenError::Empty { passed: 6 }));
+    assert_eq!(order.resume_from(), 5);
+    let mut other = order.clone();
+    other.begin_run();
+    assert_eq!(other.place(5, "b5"), Err(TokenError::Different { index: 5 }));
+    order.begin_run();
+    assert_eq!(order.check_end(), Err(TokenError::Empty { passed: 6 }));
+    order.begin_run();
+    assert_eq!(order.place(5, "a5"), Ok(TokenPlace::Known));
+    assert_eq!(order.check_end(), Ok(()));
+}
+
+/// Guards against the end of a shorter generation that counts as the end of the stream.
+#[test]
+fn a_run_that_ends_before_the_last_token_is_no_end() {
+    let mut order = order_of_six();
+    assert_eq!(order.place(0, "a0"), Ok(TokenPlace::Known));
+    assert_eq!(order.check_end(), Err(TokenError::Short { tokens: 1, passed: 6 }));
+}
+
+/// Guards against whole streams that count as broken.
+#[test]
+fn a_run_that_reached_the_last_token_is_an_end() {
+    assert_eq!(TokenOrder::default().check_end(), Ok(()));
+    let mut order = order_of_six();
+    assert_eq!(order.place(6, "a6"), Ok(TokenPlace::Next));
+    assert_eq!((order.check_end(), order.resume_from()), (Ok(()), 7));
+}
