--- a/crates/bench/tests/processes/main.rs
+++ b/crates/bench/tests/processes/main.rs
@@ -6,4 +6,5 @@
 mod continuation;
 mod fixture;
 mod lifecycle;
+mod old_callers;
 mod truncation;
--- a/crates/router/src/caller.rs
+++ b/crates/router/src/caller.rs
@@ -8,7 +8,7 @@
 use base::Name;
 use cadence::prelude::*;
 use doc::ServiceKind;
-use ntex::http::StatusCode;
+use ntex::http::{StatusCode, Version};
 use ntex::util::{Bytes, BytesMut};
 use ntex::web::types::{Payload, State};
 use ntex::web::{HttpRequest, HttpResponse};
@@ -125,7 +125,7 @@
         if path != "/generate" {
             return Err(request.refuse(RefusalCode::UnknownPath));
         }
-        return handle_stream(context, request, &body, guard).await;
+        return handle_stream(context, request, &body, http.version(), guard).await;
     }
     let call = PlainCall {
         method: http.method().clone(),
@@ -152,6 +152,7 @@
     context: &Arc<RouterContext>,
     request: Request<Received>,
     body: &Bytes,
+    version: Version,
     guard: OpenRequest,
 ) -> Result<HttpResponse, Refusal> {
     let parsed = serde_json::from_slice::<Value>(body).ok().filter(Value::is_object);
@@ -161,11 +162,13 @@
         let chunk = chunks.recv().await?;
         Some((Ok::<Bytes, std::io::Error>(chunk), chunks))
     });
-    let response = HttpResponse::Ok()
-        .content_type("text/event-stream")
-        .header("cache-control", "no-store")
-        .streaming(Box::pin(chunks));
-    Ok(response)
+    let mut builder = HttpResponse::Ok();
+    builder.content_type("text/event-stream").header("cache-control", "no-store");
+    if version < Version::HTTP_11 {
+        // Such a caller does not know chunks. The last event tells whether the stream is whole.
+        builder.no_chunking().force_close();
+    }
+    Ok(builder.streaming(Box::pin(chunks)))
 }
 
 /// Handles a call with an idempotency key, which must run at most once.
