--- a/crates/bench/tests/processes/truncation.rs
+++ b/crates/bench/tests/processes/truncation.rs
@@ -18,6 +18,8 @@
     InEvent,
     /// Resets the connection in the middle.
     Reset,
+    /// Closes the connection in the middle of a load report.
+    InLoadReport,
 }
 
 /// Forwards requests to a target and passes its answers on without length and chunks.
@@ -51,6 +53,7 @@
     let len = match cut {
         Cut::InEvent if is_event_stream => event_start(&body, 3) + 4,
         Cut::Reset if !is_load => body.len() / 2,
+        Cut::InLoadReport if is_load => body.len() / 2,
         _ => body.len(),
     };
     stream.write_all(&body[..len.min(body.len())])?;
@@ -187,3 +190,19 @@
         Ok(())
     });
 }
+
+/// Guards against half a load report that counts as a whole one.
+#[test]
+fn load_reports_without_length_that_end_in_the_middle_are_not_read() {
+    with_fleet(1, |mut fleet, caller| async move {
+        start_proxies(&mut fleet, &caller, Cut::InLoadReport).await?;
+        // Load reports are read every two seconds.
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        let failed = fleet.routers[0].log_lines(&["unit=\"load\"", "event=\"read_failed\""]);
+        for target in &fleet.targets {
+            let name = format!("target={} ", target.name);
+            assert!(failed.iter().any(|line| line.contains(&name)), "{name}: {failed:?}");
+        }
+        Ok(())
+    });
+}
