fix: the answer of a plain target that died counts as lost, if only the end of its connection marks its end (ORDER)

Callers of poplar-router got half an answer as a success, if a target whose answers have neither a length nor chunks died in the middle and its connection ended in order. For a call that must run at most once, the half was kept as the outcome of its key. Cause: the end of the connection was taken for the end of the answer; a process that dies closes its connections too. Evidence, before (targets that stop to listen and end their connection in the middle of an answer): half_an_answer_of_a_dead_target_is_repeated: left: Crossed("asked half-1, got null") right: Answered half_an_answer_of_a_dead_target_is_no_outcome: left: Crossed("asked half, got null") right: Unknown { code: "target_silent" } Change: after such an end the router tries to connect to the target. If the connection is refused and the target is not known to be leaving, the answer is lost: the call is repeated where it may be, else its outcome is unknown. Other framings are not probed. The decision is BodyFraming::may_be_cut, without network. Weighed: a target that leaves may stop to listen before its last answers end; its answers count as whole, or planned work would lose the outcomes of calls (a test plays it, and fails if the list is not asked: left: Unknown { code: "target_silent" }). What remains: a target that breaks off one answer and serves on, one whose address has a new process by the time of the probe, and one that dies while it leaves. Nothing tells their answers from whole ones. A target that ends by itself right after a whole answer, not listed as leaving, costs a repeat or an unknown outcome.

--- a/crates/bench/tests/processes/main.rs
+++ b/crates/bench/tests/processes/main.rs
@@ -4,6 +4,7 @@
 mod at_most_once;
 mod bad_input;
 mod continuation;
+mod dying_targets;
 mod fixture;
 mod lifecycle;
 mod old_callers;
--- a/crates/router/src/plain.rs
+++ b/crates/router/src/plain.rs
@@ -7,7 +7,7 @@
 use base::Name;
 use ntex::http::Method;
 use ntex::util::Bytes;
-use outbound::ExchangeError;
+use outbound::{BodyFraming, ExchangeError, probe_listener};
 
 use crate::context::RouterContext;
 use crate::lifecycle::{Queued, Received, Request};
@@ -19,6 +19,9 @@
 pub(crate) const MAX_ATTEMPTS: u32 = 3;
 /// Timeout of a target's complete response to a plain call, in milliseconds.
 const RESPONSE_TIMEOUT_MS: u64 = 30_000;
+/// Time to find out whether a target still listens: a round trip between failure domains, with
+/// one lost packet.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(600);
 /// Maximum size of the response to a plain call, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
@@ -72,7 +75,7 @@
         permit.mark_dispatched();
         let dispatched = queued.dispatch();
         let start = Instant::now();
-        match send(address, call).await {
+        match send(context, &permit.target, address, call).await {
             Ok(response) => {
                 permit.settle(cost_of(start));
                 return Ok(response);
@@ -158,7 +161,25 @@
     (start.elapsed().as_secs_f64() * 1_000.0).max(1.0)
 }
 
-async fn send(address: SocketAddr, call: &PlainCall) -> Result<PlainResponse, SendError> {
+/// Whether a target whose response has ended in order may have died in the middle of it. A target
+/// that is leaving may stop to listen before its last responses end.
+async fn may_have_died(
+    context: &RouterContext,
+    target: &Name,
+    address: SocketAddr,
+    framing: BodyFraming,
+) -> bool {
+    framing == BodyFraming::Connection
+        && framing.may_be_cut(probe_listener(address, PROBE_TIMEOUT).await)
+        && context.core().target_entry(target).is_some()
+}
+
+async fn send(
+    context: &RouterContext,
+    target: &Name,
+    address: SocketAddr,
+    call: &PlainCall,
+) -> Result<PlainResponse, SendError> {
     let sending = async {
         let request = TargetRequest {
             method: call.method.clone(),
@@ -168,6 +189,10 @@
         };
         let mut response = send_to_target(address, request).await?;
         let body = response.read_body(MAX_RESPONSE_BYTES).await.map_err(SendError::MaybeSent)?;
+        if may_have_died(context, target, address, response.framing()).await {
+            let cause = "connection ended, and the target no longer listens";
+            return Err(SendError::MaybeSent(cause.into()));
+        }
         Ok(PlainResponse {
             status: response.status().as_u16(),
             content_type: response.content_type().map(str::to_owned),
--- a/crates/router/src/target_client.rs
+++ b/crates/router/src/target_client.rs
@@ -7,7 +7,7 @@
 use http::{HeaderValue, Method, Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
-use outbound::{Connection, ExchangeError, connect};
+use outbound::{BodyFraming, Connection, ExchangeError, connect};
 
 /// Time to open a connection to a target.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -25,6 +25,7 @@
 #[derive(Debug)]
 pub(crate) struct TargetResponse {
     response: Response<Incoming>,
+    framing: BodyFraming,
     _connection: Connection,
 }
 
@@ -53,7 +54,8 @@
     })?;
     let mut connection = connect(address, CONNECT_TIMEOUT).await?;
     let response = connection.exchange(built).await?;
-    Ok(TargetResponse { response, _connection: connection })
+    let framing = BodyFraming::of(&response);
+    Ok(TargetResponse { response, framing, _connection: connection })
 }
 
 impl TargetResponse {
@@ -61,6 +63,11 @@
         self.response.status()
     }
 
+    /// Returns how the end of the body is marked.
+    pub(crate) fn framing(&self) -> BodyFraming {
+        self.framing
+    }
+
     pub(crate) fn content_type(&self) -> Option<&str> {
         self.response.headers().get(CONTENT_TYPE)?.to_str().ok()
     }
