--- a/crates/admit/src/retries.rs
+++ b/crates/admit/src/retries.rs
@@ -14,6 +14,9 @@
 
 use crate::window::RateWindow;
 
+/// Part of the usable budget that [`RetryBudget::try_take_spare`] may use up.
+const SPARE_FRACTION: f64 = 0.5;
+
 /// Limits of the retry budget; the platform prescribes the first three.
 #[derive(Clone, Copy, Debug)]
 pub struct RetrySettings {
@@ -86,11 +89,21 @@
 
     /// Takes one retry from the budget; returns false if the budget is exhausted.
     pub fn try_take(&mut self, service: &Name, now: Millis) -> bool {
+        self.try_take_of(self.settings.usable_fraction, service, now)
+    }
+
+    /// Takes one retry for what may well be complete, such as a stream whose end nothing proves.
+    /// Returns false if that would leave less than half of the budget for what has failed.
+    pub fn try_take_spare(&mut self, service: &Name, now: Millis) -> bool {
+        self.try_take_of(self.settings.usable_fraction * SPARE_FRACTION, service, now)
+    }
+
+    fn try_take_of(&mut self, fraction: f64, service: &Name, now: Millis) -> bool {
         let settings = self.settings;
         let routers = self.router_count.0 as f64;
         let counts = self.counts(service);
         let budget = settings.ratio * counts.requests.sum(now) + settings.allowance / routers;
-        if counts.retries.sum(now) + 1.0 > budget * settings.usable_fraction {
+        if counts.retries.sum(now) + 1.0 > budget * fraction {
             return false;
         }
         counts.retries.add(1.0, now);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -16,7 +16,7 @@
 use ntex::io::IoRef;
 use ntex::util::Bytes;
 use resume::{StreamKey, StreamOrigin, StreamRecord};
-use sse::OrderedEvents;
+use sse::{OrderError, OrderedEvents};
 use thiserror::Error as ThisError;
 use tokio::time::Instant;
 
@@ -25,7 +25,7 @@
 use crate::headers::is_event_stream;
 use crate::reader::{ReadFailure, ResponseReader, RunFailure};
 use crate::report::{CallEnd, CallReport};
-use crate::send::{Attempts, send};
+use crate::send::{Attempts, send, take_confirmation, take_retry};
 use crate::streams::BegunStream;
 use crate::worker::Worker;
 
@@ -382,7 +382,13 @@
         let Some(events) = events else {
             return fail(&mut self.report, cause);
         };
-        if !crate::send::take_retry(&self.worker, &self.call, &self.attempts) {
+        let is_taken = match failure {
+            RunFailure::Order(OrderError::UnmarkedEnd) => {
+                take_confirmation(&self.worker, &self.call, &self.attempts)
+            }
+            _ => take_retry(&self.worker, &self.call, &self.attempts),
+        };
+        if !is_taken {
             return fail(&mut self.report, cause);
         }
         events.begin_run();
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -282,11 +282,21 @@
 /// request to be sent once more. If so, one retry is taken from the budget.
 pub(crate) fn take_retry(worker: &Worker, call: &AdmittedCall, attempts: &Attempts) -> bool {
     let context = &worker.context;
-    let now = context.now();
+    is_retry_allowed(context, call, attempts)
+        && context.retries().try_take(&call.routed.service, context.now())
+}
+
+/// The same for a stream that may be complete, whose end is to be confirmed.
+pub(crate) fn take_confirmation(worker: &Worker, call: &AdmittedCall, attempts: &Attempts) -> bool {
+    let context = &worker.context;
+    is_retry_allowed(context, call, attempts)
+        && context.retries().try_take_spare(&call.routed.service, context.now())
+}
+
+fn is_retry_allowed(context: &GatewayContext, call: &AdmittedCall, attempts: &Attempts) -> bool {
     attempts.sent < call.routed.route.max_attempts
         && may_retry(context, call)
-        && call.routed.remaining_ms(now) > 0
-        && context.retries().try_take(&call.routed.service, now)
+        && call.routed.remaining_ms(context.now()) > 0
 }
 
 /// Returns the refusal of a request that failed for a lack of this router's own; `None` if
