--- a/crates/sse/src/order.rs
+++ b/crates/sse/src/order.rs
@@ -13,8 +13,6 @@
 
 /// Largest number of events that are remembered to recognise them in a later run.
 const MAX_REMEMBERED_EVENTS: usize = 1_024;
-/// Number of equal steps between ids after which a greater step counts as a gap.
-const MIN_EQUAL_STEPS: usize = 2;
 
 /// How a run of a target ended, in order and outside of an event.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -62,28 +60,6 @@
     digest: u64,
 }
 
-/// The steps between the ids of successive events.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-struct IdSteps {
-    count: usize,
-    smallest: u64,
-    /// 0 if none is known.
-    largest: u64,
-}
-
-impl IdSteps {
-    fn record(&mut self, step: u64) {
-        self.smallest = if self.count == 0 { step } else { self.smallest.min(step) };
-        self.largest = self.largest.max(step);
-        self.count += 1;
-    }
-
-    /// Whether a step is greater than all others, which were equal.
-    fn exclude(self, step: u64) -> bool {
-        self.count >= MIN_EQUAL_STEPS && self.smallest == self.largest && step > self.largest
-    }
-}
-
 /// The run of the target that contributes at present.
 #[derive(Clone, Debug, Default)]
 struct RunState {
@@ -119,7 +95,8 @@
     /// The last events that were passed on, in order. Empty if the stream can't be resumed.
     passed: VecDeque<PassedEvent>,
     max_remembered: usize,
-    steps: IdSteps,
+    /// Largest step between the ids of two successive events of a run; 0 if none is known.
+    largest_step: u64,
     /// The next run is to have the last event once more, which shows that it is a run of the same
     /// stream and tells what follows.
     must_overlap: bool,
@@ -140,7 +117,7 @@
             taken_up_id: None,
             passed: VecDeque::new(),
             max_remembered: MAX_REMEMBERED_EVENTS,
-            steps: IdSteps::default(),
+            largest_step: 0,
             must_overlap: false,
             is_end_unknown: false,
         }
@@ -300,7 +277,7 @@
                 self.run.held.clear();
                 return self.check_known(run_last, numbered);
             }
-            if run_last.is_none() && id - last > 1 && self.steps.count == 0 {
+            if run_last.is_none() && id - last > 1 && self.largest_step == 0 {
                 self.run.ahead = Some(numbered);
                 self.run.held.extend_from_slice(&event.bytes);
                 return Ok(());
@@ -308,7 +285,7 @@
             self.check_next(run_last, id, last)?;
         }
         if let Some(run_last) = run_last {
-            self.steps.record(id - run_last);
+            self.largest_step = self.largest_step.max(id - run_last);
         }
         self.place(passed);
         self.pass(&event.bytes, passed);
@@ -349,9 +326,8 @@
         match run_last {
             // A run that has events before the last one and not that one is another one.
             Some(run_last) if run_last != last => Err(OrderError::Gap { id, last }),
-            _ if self.steps.exclude(step) => Err(OrderError::Gap { id, last }),
             Some(_) => Ok(()),
-            None if step == 1 || step <= self.steps.largest => Ok(()),
+            None if step == 1 || step <= self.largest_step => Ok(()),
             None => Err(self.unplaced()),
         }
     }
@@ -374,9 +350,11 @@
         }
     }
 
-    /// Checks that what comes next has its place, whatever its id: after the last event.
+    /// Checks that what comes next has its place, whatever its id: after the last event, which was
+    /// passed on here. A caller that takes a stream up may have events without a number after it.
     fn check_placed(&mut self) -> Result<(), OrderError> {
-        let is_after_last = self.run.last_id == self.last_id && self.run.ahead.is_none();
+        let has_last = self.run.last_id == self.last_id && !self.passed.is_empty();
+        let is_after_last = has_last && self.run.ahead.is_none();
         if self.run.is_unplaced && !is_after_last { Err(self.unplaced()) } else { Ok(()) }
     }
 
