fix: holders of streams are known as soon as a peer is found (LOST)

Traced by the logs: gateway-0 found its peers at 49.176 and 49.180 s and was killed by 49.33 s without a line "retold"; peers became holders only with the next heartbeat, up to an interval (0.2 s) later, and the open streams were told 0.2 s after that at most. Streams that began between were known to nobody. Change: a peer becomes a holder when it is found.

--- a/crates/gateway/src/beats.rs
+++ b/crates/gateway/src/beats.rs
@@ -408,6 +408,8 @@
                 is_draining,
             );
             update_fleet(context);
+            // Streams may begin before the next heartbeat, and their holders are told first.
+            update_holders(context);
         }
         HeartbeatOutcome::Newer { changed: true } if is_draining => {
             tracing::info!(unit = "beats", event = "peer_draining", %peer);
