fix: a run does not go on after an event that only its caller knows (ORDER)

A caller got events 2 to 6 of another run after its event 1: it took the stream up, the first target had no event, and the next one, asked for event 1 once more, ignored where to go on and began there anyway. Cause: to confirm an end for a caller that takes a stream up, the event that it names was taken for the one that it has, though its bytes are not known here. The state machine had missed it: its oracle excluded such runs as untellable, which was too much. Change: such an event may only confirm that the stream ends there; what follows it is not joined.

--- a/crates/sse/src/order.rs
+++ b/crates/sse/src/order.rs
@@ -326,6 +326,8 @@
         match run_last {
             // A run that has events before the last one and not that one is another one.
             Some(run_last) if run_last != last => Err(OrderError::Gap { id, last }),
+            // Its bytes are not known here, so the run may be another one that begins there.
+            Some(_) if self.passed.is_empty() => Err(self.unplaced()),
             Some(_) => Ok(()),
             None if step == 1 || step <= self.largest_step => Ok(()),
             None => Err(self.unplaced()),
@@ -335,7 +337,7 @@
     /// Checks that the caller has `event`, and that it has it after event `run_last`.
     fn check_known(&self, run_last: Option<u64>, event: PassedEvent) -> Result<(), OrderError> {
         let id = event.id;
-        // Its bytes are not known here, and the run was asked to have it.
+        // The run was asked to have it, and may only confirm that the stream ends there.
         let is_taken_up = self.must_overlap && Some(id) == self.taken_up_id;
         if self.passed.is_empty() && is_taken_up {
             return Ok(());
