--- a/crates/gateway/src/beats.rs
+++ b/crates/gateway/src/beats.rs
@@ -30,16 +30,16 @@
 };
 use crate::messages::{
     CHANGES_PATH, ChangesRequest, ConfigurationNotice, HeartbeatNotice, HeartbeatPayload,
-    LeavingNotice, MAX_CHANGES_BYTES, MAX_HEARTBEAT_BYTES, PeerChanges, PeerDatagram, PeerMessage,
-    RouterCondition, append_part, decode_changes, decode_heartbeat, decode_peer_message,
-    is_peer_message,
+    LeavingNotice, MAX_CHANGES_BYTES, MAX_HEARTBEAT_BYTES, NO_RECORDS, PeerChanges, PeerDatagram,
+    PeerMessage, RouterCondition, append_part, decode_changes, decode_heartbeat,
+    decode_peer_message, is_peer_message,
 };
 use crate::permits::{answer_permit_request, handle_permit_response, merge_limits, update_fleet};
 use crate::platform::SourceUpdate;
 use crate::streams::{
     answer_origin_request, handle_origin_response, record_streams, update_holders, watch_streams,
 };
-use crate::view::{UpdateOrigin, apply_update, record_left_targets};
+use crate::view::{UpdateOrigin, apply_peer_domains, apply_update, record_left_targets};
 
 /// Time limit for fetching changes from a peer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
@@ -47,9 +47,9 @@
 const MIN_PAUSE_PART: u32 = 10;
 /// Rounds of heartbeats in which urgent news goes to all routers, as datagrams may be lost.
 const URGENT_ROUNDS: u32 = 2;
-/// Number of peers that a router asks for all they know after its start. Each of them may
-/// have started just before.
-const START_FETCHES: usize = 3;
+/// Number of peers that a router asks for all they know after its start, or for all evacuations
+/// after the source was restored. Each of them may have started just before.
+pub(crate) const ALL_FETCHES: usize = 3;
 
 /// A fetch of the changes after a revision.
 #[derive(Clone, Copy, Debug)]
@@ -422,7 +422,7 @@
     // What a restored source has lost is known to peers alone, whatever the revisions.
     let needs_all = knows_source
         && matches!(outcome, HeartbeatOutcome::Joined)
-        && context.start_fetches() < START_FETCHES;
+        && context.start_fetches() < ALL_FETCHES;
     record_version(context, addresses.peers, version);
     if needs_all || is_behind {
         let after = if needs_all { 0 } else { context.source().revision };
@@ -431,6 +431,11 @@
         if needs_all && is_queued {
             context.count_start_fetch();
         }
+    } else if let Some(remaining) = context.domain_fetches().checked_sub(1) {
+        let fetch = PeerFetch { peer: addresses.peers, after: NO_RECORDS };
+        if fetch_sender.try_send(fetch).is_ok() {
+            context.set_domain_fetches(remaining);
+        }
     }
     outcome
 }
@@ -456,7 +461,7 @@
     let response = client.fetch(Method::POST, CHANGES_PATH, body, PEER_TIMEOUT).await?;
     let status = response.status();
     anyhow::ensure!(status.is_success(), "step=fetch_changes peer={peer}: status {status}");
-    let PeerChanges { response, notice, configuration, versions } =
+    let PeerChanges { response, notice, configuration, versions, domains } =
         decode_changes(response.body())?;
     // Recorded before the revision, from which this router may read the source next.
     record_version(context, peer, configuration.version);
@@ -464,11 +469,17 @@
     if let Some(age) = response.source_recovery_age {
         context.targets().record_peer_recovery(age, now);
     }
+    // Applied before the targets and the revision, so that no target is used in spite of one.
+    if let Some(listing) = domains {
+        apply_peer_domains(context, listing);
+    }
+    // A response without records is not complete up to its revision.
+    let revision = if after == NO_RECORDS { 0 } else { response.revision };
     let update = SourceUpdate {
-        revision: response.revision,
+        revision,
         table: response.table,
         records: response.records,
-        unreadable: Vec::new(),
+        ..SourceUpdate::default()
     };
     apply_update(context, update, UpdateOrigin::Peer);
     context.resumes().merge_versions(versions, now);
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -162,6 +162,9 @@
     router_count: AtomicUsize,
     /// Number of peers that were asked for all they know since the start.
     start_fetches: AtomicUsize,
+    /// Number of peers still to be asked which failure domains are evacuated, as the source was
+    /// restored.
+    domain_fetches: AtomicUsize,
 }
 
 /// Returns the heartbeat addresses of `seeds`. All routers use the same ports, so
@@ -259,6 +262,7 @@
             open_connections: AtomicUsize::new(0),
             router_count: AtomicUsize::new(1),
             start_fetches: AtomicUsize::new(0),
+            domain_fetches: AtomicUsize::new(0),
         })
     }
 
@@ -408,6 +412,14 @@
         self.start_fetches.fetch_add(1, Ordering::Relaxed);
     }
 
+    pub(crate) fn domain_fetches(&self) -> usize {
+        self.domain_fetches.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn set_domain_fetches(&self, count: usize) {
+        self.domain_fetches.store(count, Ordering::Relaxed);
+    }
+
     pub(crate) fn open_calls(&self) -> usize {
         self.open_calls.load(Ordering::SeqCst)
     }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -6,7 +6,7 @@
 use base::{Millis, Name};
 use mesh::{ReaderPolicy, ReaderSettings, ReaderVerdict};
 
-use crate::beats::send_source_notice;
+use crate::beats::{ALL_FETCHES, send_source_notice};
 use crate::context::GatewayContext;
 use crate::platform::{SourceError, StateSource};
 use crate::view::{UpdateOrigin, apply_update};
@@ -56,8 +56,11 @@
             let source = context.source();
             (source.revision, source.announced)
         };
+        // Peers of earlier versions pass on changes of targets alone.
+        let lacks_domains = context.targets().domains_revision() < after;
+        let must_list = needs_listing || lacks_domains || announced.must_list(version);
         let started_at = context.now();
-        let (result, origin) = if needs_listing || announced.must_list(version) || after == 0 {
+        let (result, origin) = if must_list || after == 0 {
             (source.read_all().await, UpdateOrigin::Listing)
         } else {
             (source.read_changes(after, READ_WAIT).await, UpdateOrigin::Changes)
@@ -103,7 +106,11 @@
                 let now = context.now();
                 match cause {
                     SourceError::Compacted { .. } => {}
-                    SourceError::Restored { .. } => context.targets().record_source_restored(now),
+                    SourceError::Restored { .. } => {
+                        context.targets().record_source_restored(now);
+                        // Peers may know of evacuations that the source has lost.
+                        context.set_domain_fetches(ALL_FETCHES);
+                    }
                     _ => context.targets().record_source_lost(now),
                 }
                 if failures == 1 {
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -11,7 +11,10 @@
 use route::RouteTable;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use target::{InFlightLoad, InFlightTotals, LeavingTarget, LeftTarget, TargetIdHash, TargetRecord};
+use target::{
+    DomainListing, InFlightLoad, InFlightTotals, LeavingTarget, LeftTarget, TargetIdHash,
+    TargetRecord,
+};
 
 /// Largest heartbeat datagram, in bytes. It stays below the usual packet size.
 pub(crate) const MAX_HEARTBEAT_BYTES: usize = 1_400;
@@ -183,6 +186,9 @@
     part.ok()
 }
 
+/// Revision after which there are no records, in requests for what else a peer knows.
+pub(crate) const NO_RECORDS: u64 = u64::MAX - 1;
+
 /// Asks a peer for the changes after a revision.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct ChangesRequest {
@@ -291,6 +297,8 @@
     pub(crate) configuration: ConfigurationNotice,
     /// What the peer has seen of software versions.
     pub(crate) versions: VersionNotice,
+    /// Evacuated failure domains; `None` from routers of earlier versions.
+    pub(crate) domains: Option<DomainListing>,
 }
 
 /// Decodes the response of a peer to a request for changes, and what follows it.
@@ -304,5 +312,6 @@
     let software: SoftwareNotice = decode_part(&mut body).unwrap_or_default();
     software.apply(&mut response.records);
     let versions = decode_part(&mut body).unwrap_or_default();
-    Ok(PeerChanges { response, notice, configuration, versions })
+    let domains = decode_part(&mut body);
+    Ok(PeerChanges { response, notice, configuration, versions, domains })
 }
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -9,7 +9,7 @@
 use base::{Millis, Name};
 use ntex::http::HeaderMap;
 use route::RouteTable;
-use target::{LoadReport, RequestProfile, TargetEntry, TargetRecord};
+use target::{DomainRecord, LoadReport, RequestProfile, TargetEntry, TargetRecord};
 use thiserror::Error;
 
 /// Metadata of a caller's request, read from its headers.
@@ -132,6 +132,8 @@
     /// The newest configuration, if the update contains one.
     pub table: Option<RouteTable>,
     pub records: Vec<TargetRecord>,
+    /// Failure domains that are evacuated or taken back.
+    pub domains: Vec<DomainRecord>,
     /// Keys of items that could not be decoded, with the reason.
     pub unreadable: Vec<(String, String)>,
 }
--- a/crates/gateway/src/reader.rs
+++ b/crates/gateway/src/reader.rs
@@ -172,7 +172,7 @@
         let entry = &self.outstanding.entry;
         if self.run_end() == RunEnd::Marked
             || probe_listener(entry.address, PROBE_TIMEOUT).await != ListenerState::Refused
-            || !worker.context.targets().may_serve(entry, worker.context.now())
+            || !worker.context.targets().is_present(entry, worker.context.now())
         {
             return Ok(());
         }
--- a/crates/gateway/src/resources.rs
+++ b/crates/gateway/src/resources.rs
@@ -8,6 +8,7 @@
 use cadence::prelude::*;
 
 use crate::context::GatewayContext;
+use crate::view::expire_domains;
 
 /// Time between two samples.
 const SAMPLE_PERIOD: Duration = Duration::from_secs(1);
@@ -23,6 +24,7 @@
 }
 
 fn log_sample(context: &GatewayContext) {
+    expire_domains(context);
     let resident_bytes = resident_bytes();
     let descriptors = open_descriptors();
     let connections = context.open_connections();
@@ -47,6 +49,7 @@
         ("held_bytes", Some(held_bytes as u64)),
         ("saturated", Some(u64::from(is_saturated))),
         ("limited_targets", Some(context.limits().limited_targets() as u64)),
+        ("evacuated_domains", Some(context.targets().evacuated_domains(context.now()) as u64)),
     ];
     for (name, value) in gauges {
         if let Some(value) = value {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -14,7 +14,7 @@
 use crate::context::GatewayContext;
 use crate::messages::{CHANGES_PATH, SoftwareNotice, append_part, decode_changes_request};
 use crate::relay::RelayBody;
-use crate::view::{changes_notice, changes_since, configuration_notice};
+use crate::view::{changes_notice, changes_since, configuration_notice, domain_listing};
 
 /// Lease of an address response, in seconds. Callers may use the response three
 /// times as long, and a draining router waits for that time.
@@ -97,6 +97,8 @@
             append_part(&mut response, &configuration_notice(&context));
             append_part(&mut response, &SoftwareNotice::of(&changes.records));
             append_part(&mut response, &context.resumes().version_notice(context.now()));
+            // Read after the revision of the response, as above.
+            append_part(&mut response, &domain_listing(&context));
             full_response(PEER_MESSAGE_TYPE, response)
         }
         Err(cause) => not_encoded(&cause),
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -3,7 +3,7 @@
 
 use base::Millis;
 use route::VersionVerdict;
-use target::{LeftTarget, RecordChange};
+use target::{DomainChange, DomainListing, DomainRecord, LeftTarget, RecordChange};
 
 use crate::context::GatewayContext;
 use crate::messages::{ChangesNotice, ChangesRequest, ChangesResponse, ConfigurationNotice};
@@ -20,6 +20,8 @@
     Changes,
     /// Changes from a peer.
     Peer,
+    /// A restored source lacks what it had, and its writer has had time to write it again.
+    Expiry,
 }
 
 /// Applies an update. Returns whether it advanced the revision of this router's
@@ -33,6 +35,10 @@
     // How long the changes were known to exist, and how late they may have been read.
     let behind_ms = context.source().behind_since.map(|since| now.saturating_sub(since));
     let late_ms = context.control_lateness().late_ms(now);
+    expire_domains(context);
+    // Evacuations come first, so that no target of the update is used in spite of one.
+    let domain_changes = merge_domains(context, update.domains, update.revision, origin);
+    log_domains(context, &domain_changes, origin);
     for (key, cause) in &update.unreadable {
         tracing::warn!(unit = "view", event = "unreadable_item", key, cause);
     }
@@ -88,6 +94,76 @@
     context.source().advance(update.revision)
 }
 
+/// Merges the failure domains of an update; returns those whose evacuation began or ended.
+fn merge_domains(
+    context: &GatewayContext,
+    records: Vec<DomainRecord>,
+    revision: u64,
+    origin: UpdateOrigin,
+) -> Vec<(DomainRecord, DomainChange)> {
+    let now = context.now();
+    let mut targets = context.targets();
+    match origin {
+        UpdateOrigin::Listing => targets.merge_domain_listing(records, revision, now),
+        UpdateOrigin::Changes => {
+            let merged = records.into_iter().map(|record| {
+                let change = targets.merge_domain(record.clone(), now);
+                (record, change)
+            });
+            let merged = merged.collect();
+            targets.advance_domains(revision);
+            merged
+        }
+        // What peers know of failure domains is complete up to a revision of its own.
+        UpdateOrigin::Peer | UpdateOrigin::Expiry => Vec::new(),
+    }
+}
+
+/// Merges what a peer knows of evacuated failure domains.
+pub(crate) fn apply_peer_domains(context: &GatewayContext, listing: DomainListing) {
+    let changes = context.targets().merge_peer_domains(listing, context.now());
+    log_domains(context, &changes, UpdateOrigin::Peer);
+}
+
+/// Ends the evacuations that a restored source has lacked for too long.
+pub(crate) fn expire_domains(context: &GatewayContext) {
+    let ended = context.targets().expire_domains(context.now());
+    let changes: Vec<_> =
+        ended.into_iter().map(|record| (record, DomainChange::TakenBack)).collect();
+    log_domains(context, &changes, UpdateOrigin::Expiry);
+}
+
+fn log_domains(
+    context: &GatewayContext,
+    changes: &[(DomainRecord, DomainChange)],
+    origin: UpdateOrigin,
+) {
+    let now = context.now();
+    let behind_ms = context.source().behind_since.map(|since| now.saturating_sub(since));
+    let late_ms = context.control_lateness().late_ms(now);
+    for (DomainRecord { domain, revision, .. }, change) in changes {
+        if *change != DomainChange::Unchanged {
+            tracing::info!(
+                unit = "view",
+                event = "evacuation",
+                %domain,
+                ?change,
+                revision,
+                ?origin,
+                behind_ms,
+                late_ms,
+            );
+        }
+    }
+}
+
+/// Returns what this router knows of evacuated failure domains. The whole is sent each time, as
+/// it is small: what a peer missed, as an instance of an earlier version was in between, reaches
+/// it with the next change.
+pub(crate) fn domain_listing(context: &GatewayContext) -> DomainListing {
+    context.targets().domain_listing(context.now())
+}
+
 /// Records the targets that a peer saw leave.
 pub(crate) fn record_left_targets(context: &GatewayContext, left: Vec<LeftTarget>) {
     let now = context.now();
--- a/crates/target/src/left.rs
+++ b/crates/target/src/left.rs
@@ -19,6 +19,10 @@
 /// reading.
 pub(crate) const HOLD_MS: Millis = 5_000;
 
+pub(crate) fn is_same_era(revision: u64, other: u64) -> bool {
+    revision / ERA_REVISIONS == other / ERA_REVISIONS
+}
+
 /// A target whose entry was removed while the source was available.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LeftTarget {
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -2,7 +2,9 @@
 
 mod backlog;
 mod backoff;
+mod domains;
 mod entry;
+mod evacuation;
 mod fullness;
 mod health;
 mod leaving;
@@ -14,6 +16,7 @@
 
 pub use backoff::{BackoffSettings, TargetBackoffs};
 pub use entry::{TargetEntry, TargetState};
+pub use evacuation::{DomainChange, DomainListing, DomainRecord, DomainReturn};
 pub use fullness::FullnessSamples;
 pub use health::{HealthSettings, RequestOutcome, TargetHealth};
 pub use leaving::{LeavingOrigin, LeavingTarget};
--- a/crates/target/src/registry.rs
+++ b/crates/target/src/registry.rs
@@ -14,8 +14,9 @@
 
 use crate::backoff::TargetBackoffs;
 use crate::entry::{TargetEntry, TargetState};
+use crate::evacuation::{EvacuatedDomains, HOLD_MS as DOMAIN_HOLD_MS, READ_MS};
 use crate::leaving::{LeavingOrigin, LeavingTarget, LeavingTargets};
-use crate::left::{ERA_REVISIONS, HOLD_MS, LeftTarget, LeftTargets};
+use crate::left::{HOLD_MS, LeftTarget, LeftTargets, is_same_era};
 use crate::outage::{OutageSettings, SourceOutage};
 
 /// Limits of the registry.
@@ -80,8 +81,9 @@
     records: BTreeMap<Name, StoredRecord>,
     leaving: LeavingTargets,
     backoffs: TargetBackoffs,
-    outage: SourceOutage,
+    pub(crate) outage: SourceOutage,
     left: LeftTargets,
+    pub(crate) domains: EvacuatedDomains,
 }
 
 impl TargetRegistry {
@@ -130,7 +132,12 @@
     /// Records that the source responded to this router.
     pub fn record_source_reached(&mut self, now: Millis) {
         let lost_at = self.outage.lost_at;
-        if !self.outage.record_response(&self.settings.outage, now) {
+        let was_long = self.outage.record_response(&self.settings.outage, now);
+        if let Some(lost_at) = lost_at {
+            let extra_ms = if was_long { DOMAIN_HOLD_MS } else { READ_MS };
+            self.domains.extend_hold(lost_at, extra_ms, now);
+        }
+        if !was_long {
             return;
         }
         // Targets whose entries had not expired when the source was lost get the time again.
@@ -309,7 +316,8 @@
         self.published(service, now).filter_map(|entry| self.backoffs.wait_ms(entry, now)).min()
     }
 
-    /// Returns the targets of a service that take requests, by what is published and said.
+    /// Returns the targets of a service that take requests, by what is published and said, and
+    /// whose failure domains are not evacuated.
     fn published<'a>(
         &'a self,
         service: &'a str,
@@ -318,14 +326,26 @@
         let records = self.records.values().filter(move |record| self.is_usable(record, now));
         records
             .filter_map(|record| record.entry.as_ref())
-            .filter(move |entry| &*entry.service == service)
+            .filter(move |entry| &*entry.service == service && !self.is_evacuated(entry, now))
     }
 
-    /// Whether a target that was selected before may still get a request: its entry may have
-    /// changed while the request waited for a connection.
+    /// Whether a target that was selected before may still get a request: its entry, or its
+    /// failure domain, may have changed while the request waited for a connection.
     pub fn may_serve(&self, selected: &TargetEntry, now: Millis) -> bool {
-        let record = self.records.get(&selected.id).filter(|record| self.is_usable(record, now));
-        record.and_then(|record| record.entry.as_ref()).is_some_and(|entry| {
+        let is_evacuated = |entry: &TargetEntry| self.is_evacuated(entry, now);
+        self.published_now(selected, now).is_some_and(|entry| !is_evacuated(entry))
+    }
+
+    /// Whether a target that was selected before still takes requests by what is published and
+    /// said, also if its failure domain is evacuated.
+    pub fn is_present(&self, selected: &TargetEntry, now: Millis) -> bool {
+        self.published_now(selected, now).is_some()
+    }
+
+    /// Returns the present entry of a target that was selected before, if it takes requests.
+    fn published_now(&self, selected: &TargetEntry, now: Millis) -> Option<&TargetEntry> {
+        let record = self.records.get(&selected.id).filter(|record| self.is_usable(record, now))?;
+        record.entry.as_deref().filter(|entry| {
             entry.incarnation == selected.incarnation
                 && entry.address == selected.address
                 && entry.service == selected.service
@@ -386,7 +406,3 @@
         Some(TargetEntry { state, ..entry.clone() })
     }
 }
-
-fn is_same_era(revision: u64, other: u64) -> bool {
-    revision / ERA_REVISIONS == other / ERA_REVISIONS
-}
