rate: limit of cold targets under a hard bound

Change: permits of cold targets live for 200 ms from the request for them, and come only from an elected issuer that knows who else may issue: groups share the rate by the peers that they hear, a successor of a missing issuer issues what the bound leaves, and an instance that has just started nothing. After the cold time the rate grows by one for each full answer.

--- /dev/null
+++ b/crates/rate/src/cold_permits.rs
@@ -0,0 +1,304 @@
+//! Permits for cold targets at the instance that sends the requests.
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+
+use base::Millis;
+
+use crate::cold::{COLD_PERMIT_MS, ColdBounds, ColdLimit};
+use crate::cold_issuer::{ColdAskView, ColdIssuer};
+use crate::key::RateKey;
+use crate::limiter::{RateLimiter, RequestClass};
+use crate::message::{ColdOutcome, ColdRequest, ColdResponse};
+
+/// Largest cold time in milliseconds that a peer may name.
+const MAX_LEFT_MS: Millis = 3_600_000;
+
+/// A request for a permit that is to be sent to an issuer.
+#[derive(Clone, Copy, Debug)]
+pub struct ColdAsk {
+    pub issuer: SocketAddr,
+    pub request: ColdRequest,
+}
+
+/// Whether a request may be sent to a target that is cold or was so lately.
+#[derive(Clone, Copy, Debug)]
+pub enum ColdDecision {
+    /// The request may be sent before this time, in milliseconds on this instance's clock.
+    Granted { expires_at: Millis },
+    /// The issuer must be asked.
+    Ask(ColdAsk),
+    /// Not now.
+    Unavailable {
+        /// Milliseconds until a permit may be available.
+        retry_ms: Millis,
+    },
+}
+
+/// One target that is cold, or that has not yet answered enough since.
+#[derive(Debug)]
+struct ColdTarget {
+    limit: ColdLimit,
+    /// When each unused permit expires. An unused permit keeps its first time, so that it does not
+    /// add to those that are issued later.
+    unused: VecDeque<Millis>,
+    denied_until: Millis,
+    /// The same for requests of [`RequestClass::Spare`].
+    spare_denied_until: Millis,
+    /// Requests that were answered in full since the issuer was asked last.
+    answered: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PendingAsk {
+    key: RateKey,
+    class: RequestClass,
+    asked_at: Millis,
+    is_awaited: bool,
+}
+
+/// Cold targets as one instance knows them.
+#[derive(Debug, Default)]
+pub(crate) struct ColdPermits {
+    /// `None` if the platform has no bound; no target is cold then.
+    pub(crate) bounds: Option<ColdBounds>,
+    targets: HashMap<RateKey, ColdTarget>,
+    pending: HashMap<u64, PendingAsk>,
+    issuer: ColdIssuer,
+}
+
+impl ColdPermits {
+    pub(crate) fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+
+    pub(crate) fn limit(&self, key: RateKey) -> Option<f64> {
+        self.targets.get(&key).map(|target| f64::from(target.limit.per_second))
+    }
+
+    pub(crate) fn retain(&mut self, is_known: impl Fn(RateKey) -> bool, now: Millis) {
+        self.targets.retain(|key, _| is_known(*key));
+        self.issuer.expire(now);
+    }
+
+    pub(crate) fn wait_ms(&self, key: RateKey, class: RequestClass, now: Millis) -> Option<Millis> {
+        let target = self.targets.get(&key)?;
+        if target.unused.iter().any(|expires_at| now < *expires_at) {
+            return Some(0);
+        }
+        Some(target.denied_until(class).saturating_sub(now))
+    }
+}
+
+impl ColdTarget {
+    fn denied_until(&self, class: RequestClass) -> Millis {
+        match class {
+            RequestClass::Regular => self.denied_until,
+            RequestClass::Spare => self.denied_until.max(self.spare_denied_until),
+        }
+    }
+
+    fn deny(&mut self, class: RequestClass, until: Millis) {
+        match class {
+            RequestClass::Regular => self.denied_until = self.denied_until.max(until),
+            RequestClass::Spare => self.spare_denied_until = self.spare_denied_until.max(until),
+        }
+    }
+
+    fn take_unused(&mut self, now: Millis) -> Option<Millis> {
+        while let Some(expires_at) = self.unused.pop_front() {
+            if now < expires_at {
+                return Some(expires_at);
+            }
+        }
+        None
+    }
+}
+
+impl RateLimiter {
+    /// Enforces `bounds` for cold targets; without them no target is limited for being cold.
+    pub fn with_cold_bounds(mut self, bounds: Option<ColdBounds>) -> Self {
+        self.cold.bounds = bounds;
+        self
+    }
+
+    /// Records that a target is cold, or was so before its rate grew; `None` if it is not. A cold
+    /// time that is known is never shortened. Returns whether it begins now.
+    pub fn set_cold(&mut self, key: RateKey, limit: Option<ColdLimit>, now: Millis) -> bool {
+        let Some(limit) = limit.filter(|_| self.cold.bounds.is_some()) else {
+            self.cold.targets.remove(&key);
+            return false;
+        };
+        let known = self.cold.targets.get(&key).map(|target| target.limit.until);
+        let until = limit.until.max(known.unwrap_or_default());
+        let limit = ColdLimit { until, ..limit };
+        let target = self.cold.targets.entry(key).or_insert_with(|| ColdTarget {
+            limit,
+            unused: VecDeque::new(),
+            denied_until: 0,
+            spare_denied_until: 0,
+            answered: 0,
+        });
+        target.limit = limit;
+        now < limit.until && known.is_none_or(|until| until <= now)
+    }
+
+    /// Whether a request to a target needs a permit as it is cold, or was so lately.
+    pub fn needs_cold_permit(&self, key: RateKey) -> bool {
+        self.cold.targets.contains_key(&key)
+    }
+
+    /// Whether any target needs such permits.
+    pub fn has_cold_targets(&self) -> bool {
+        !self.cold.is_empty()
+    }
+
+    /// Returns the number of targets that are cold.
+    pub fn cold_targets(&self, now: Millis) -> usize {
+        self.cold.targets.values().filter(|target| now < target.limit.until).count()
+    }
+
+    /// Records that a target has answered a request in full.
+    pub fn record_answered(&mut self, key: RateKey, now: Millis) {
+        if let Some(target) = self.cold.targets.get_mut(&key)
+            && now >= target.limit.until
+        {
+            target.answered = target.answered.saturating_add(1);
+        }
+    }
+
+    /// Decides whether a request may be sent to a cold target now; `None` if the target is not
+    /// limited for being cold.
+    pub fn acquire_cold(
+        &mut self,
+        key: RateKey,
+        class: RequestClass,
+        now: Millis,
+    ) -> Option<ColdDecision> {
+        let named = self.named_limit(key);
+        let fact = self.named_fact(key, now);
+        let settings = self.settings;
+        let ColdPermits { bounds, targets, pending, issuer } = &mut self.cold;
+        let (target, bounds) = (targets.get_mut(&key)?, (*bounds)?);
+        if let Some(expires_at) = target.take_unused(now) {
+            return Some(ColdDecision::Granted { expires_at });
+        }
+        let denied_until = target.denied_until(class);
+        if now < denied_until {
+            return Some(ColdDecision::Unavailable { retry_ms: denied_until - now });
+        }
+        let Some(address) = self.fleet.issuer(key) else {
+            let answered = std::mem::take(&mut target.answered);
+            let reserve = settings.reserve;
+            let ask = ColdAskView { limit: target.limit, named, class, answered, reserve };
+            let outcome = issuer.issue(key, ask, &self.cold_fleet, bounds, now);
+            return match outcome {
+                ColdOutcome::Granted => {
+                    Some(ColdDecision::Granted { expires_at: now + COLD_PERMIT_MS })
+                }
+                ColdOutcome::Denied { retry_ms } => {
+                    target.deny(class, now + retry_ms);
+                    Some(ColdDecision::Unavailable { retry_ms })
+                }
+                ColdOutcome::Warm => {
+                    targets.remove(&key);
+                    None
+                }
+            };
+        };
+        pending.retain(|_, ask| now.saturating_sub(ask.asked_at) < settings.permit_ms);
+        let asks = pending.values().filter(|ask| ask.key == key);
+        let silent_until = asks.clone().filter(|ask| !ask.is_awaited).map(|ask| ask.asked_at);
+        let silent_until = silent_until.max().map_or(0, |at| at + settings.silence_ms);
+        if now < silent_until {
+            return Some(ColdDecision::Unavailable { retry_ms: silent_until - now });
+        }
+        if asks.count() >= settings.max_pending {
+            return Some(ColdDecision::Unavailable { retry_ms: settings.pending_retry_ms });
+        }
+        self.number += 1;
+        let number = self.number;
+        pending.insert(number, PendingAsk { key, class, asked_at: now, is_awaited: true });
+        let request = ColdRequest {
+            number,
+            key,
+            fact,
+            class,
+            per_second: target.limit.per_second,
+            left_ms: target.limit.until.saturating_sub(now),
+            answered: std::mem::take(&mut target.answered),
+        };
+        Some(ColdDecision::Ask(ColdAsk { issuer: address, request }))
+    }
+
+    /// Records that no request waits any longer for a response.
+    pub(crate) fn abandon_cold(&mut self, number: u64) {
+        if let Some(ask) = self.cold.pending.get_mut(&number) {
+            ask.is_awaited = false;
+        }
+    }
+
+    /// Records the response of an issuer. Returns when the permit of the request that waits for
+    /// it expires, in milliseconds on this instance's clock; `None` if none waits or none was
+    /// granted.
+    pub fn record_cold_permit(&mut self, response: ColdResponse, now: Millis) -> Option<Millis> {
+        let ask = self.cold.pending.remove(&response.number)?;
+        // Issued after the request for it, so that the permit is not older than it seems.
+        let expires_at = ask.asked_at + COLD_PERMIT_MS;
+        match response.outcome {
+            ColdOutcome::Granted if now < expires_at => {
+                if ask.is_awaited {
+                    return Some(expires_at);
+                }
+                self.give_back_cold(ask.key, expires_at);
+            }
+            ColdOutcome::Granted => {}
+            ColdOutcome::Denied { retry_ms } => {
+                if let Some(target) = self.cold.targets.get_mut(&ask.key) {
+                    target.deny(ask.class, now + retry_ms.min(self.settings.permit_ms));
+                }
+            }
+            ColdOutcome::Warm => {
+                // It may have become cold again since the request for the permit.
+                let target = self.cold.targets.get(&ask.key);
+                if target.is_some_and(|target| target.limit.until <= ask.asked_at) {
+                    self.cold.targets.remove(&ask.key);
+                }
+            }
+        }
+        None
+    }
+
+    /// Keeps a permit whose request was not sent for the next request, until it expires.
+    pub fn give_back_cold(&mut self, key: RateKey, expires_at: Millis) {
+        if let Some(target) = self.cold.targets.get_mut(&key) {
+            target.unused.push_back(expires_at);
+        }
+    }
+
+    /// Decides on a peer's request for a permit.
+    pub fn respond_cold(&mut self, request: ColdRequest, now: Millis) -> ColdResponse {
+        let ColdRequest { number, key, fact, class, per_second, left_ms, answered } = request;
+        self.merge_fact(key, fact, now);
+        let named = self.named_limit(key);
+        let ColdPermits { bounds, targets, issuer, .. } = &mut self.cold;
+        let is_valid = per_second.is_finite() && per_second > 0.0;
+        let (Some(bounds), true) = (*bounds, is_valid) else {
+            let outcome = ColdOutcome::Denied { retry_ms: self.settings.permit_ms };
+            return ColdResponse { number, outcome };
+        };
+        let until = if left_ms == 0 { 0 } else { now + left_ms.min(MAX_LEFT_MS) };
+        // This instance may know that the target is cold, or tolerates less, before the peer.
+        let limit = match targets.get(&key).map(|target| target.limit) {
+            Some(known) => ColdLimit {
+                per_second: known.per_second.min(per_second),
+                until: known.until.max(until),
+            },
+            None => ColdLimit { per_second, until },
+        };
+        let reserve = self.settings.reserve;
+        let ask = ColdAskView { limit, named, class, answered, reserve };
+        let outcome = issuer.issue(key, ask, &self.cold_fleet, bounds, now);
+        ColdResponse { number, outcome }
+    }
+}
--- a/crates/rate/src/lib.rs
+++ b/crates/rate/src/lib.rs
@@ -21,9 +21,15 @@
 //! What is known of limits spreads with heartbeats and permits; the newest observation
 //! counts, whoever made it.
 //!
+//! A target that is cold is limited too, under a hard bound: see [`ColdBounds`]. Its permits are
+//! short-lived, and only a router that hears who else may issue issues any.
+//!
 //! Does no I/O.
 
 mod bucket;
+mod cold;
+mod cold_issuer;
+mod cold_permits;
 mod facts;
 mod fleet;
 mod key;
@@ -31,9 +37,14 @@
 mod message;
 mod settings;
 
+pub use cold::{ColdBounds, ColdLimit};
+pub use cold_permits::{ColdAsk, ColdDecision};
 pub use facts::{LimitChange, LimitFact};
 pub use fleet::{FleetView, LivePeer};
 pub use key::RateKey;
 pub use limiter::{PermitAsk, PermitDecision, RateLimiter, RequestClass};
-pub use message::{LimitNotice, PermitOutcome, PermitRequest, PermitResponse};
+pub use message::{
+    ColdOutcome, ColdRequest, ColdResponse, LimitNotice, PermitOutcome, PermitRequest,
+    PermitResponse,
+};
 pub use settings::RateSettings;
--- a/crates/rate/src/limiter.rs
+++ b/crates/rate/src/limiter.rs
@@ -7,16 +7,15 @@
 use serde::{Deserialize, Serialize};
 
 use crate::bucket::{BucketRate, PermitBucket};
+use crate::cold_permits::ColdPermits;
 use crate::facts::{LimitChange, LimitFact, LimitTable};
-use crate::fleet::FleetView;
+use crate::fleet::{ColdFleet, FleetView};
 use crate::key::RateKey;
 use crate::message::{LimitNotice, PermitOutcome, PermitRequest, PermitResponse};
 use crate::settings::RateSettings;
 
 /// Maximum unused permits of one target at one router.
 const MAX_UNUSED: usize = 8;
-/// Time in milliseconds after which a router whose requests for permits wait may ask again.
-const PENDING_RETRY_MS: Millis = 10;
 
 /// Which part of a limit a request may use.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -100,14 +99,17 @@
 /// issues.
 #[derive(Debug)]
 pub struct RateLimiter {
-    settings: RateSettings,
-    fleet: FleetView,
+    pub(crate) settings: RateSettings,
+    pub(crate) fleet: FleetView,
+    /// What decides which permits for cold targets this router issues.
+    pub(crate) cold_fleet: ColdFleet,
+    pub(crate) cold: ColdPermits,
     limits: LimitTable,
     buckets: HashMap<RateKey, PermitBucket>,
     permits: HashMap<RateKey, TargetPermits>,
     pending: HashMap<u64, PendingAsk>,
     /// Number of the last request for a permit.
-    number: u64,
+    pub(crate) number: u64,
 }
 
 impl RateLimiter {
@@ -115,7 +117,9 @@
     pub fn new(fleet: FleetView, settings: RateSettings) -> Self {
         Self {
             settings,
+            cold_fleet: ColdFleet::new(fleet.clone()),
             fleet,
+            cold: ColdPermits::default(),
             limits: LimitTable::default(),
             buckets: HashMap::new(),
             permits: HashMap::new(),
@@ -124,18 +128,30 @@
         }
     }
 
-    pub fn set_fleet(&mut self, fleet: FleetView) {
+    pub fn set_fleet(&mut self, fleet: FleetView, now: Millis) {
+        self.cold_fleet.update(&fleet, now);
         self.fleet = fleet;
     }
 
-    /// Returns the limit of a target in requests per second, if it names one.
+    /// Returns the limit of a target in requests per second, if it names one or is cold; the
+    /// lower one if both.
     pub fn limit(&self, key: RateKey) -> Option<f64> {
-        self.limits.limit(key)
+        let limits = [self.limits.limit(key), self.cold.limit(key)];
+        limits.into_iter().flatten().min_by(f64::total_cmp)
     }
 
-    /// Whether any target has named a limit lately.
+    /// Returns the lowest rate at which permits are issued for the limit that a target names.
+    pub(crate) fn named_limit(&self, key: RateKey) -> Option<f64> {
+        self.limits.limit(key).map(|limit| limit.max(self.settings.min_per_second))
+    }
+
+    pub(crate) fn named_fact(&self, key: RateKey, now: Millis) -> LimitFact {
+        self.limits.fact(key, now)
+    }
+
+    /// Whether any target has named a limit lately or needs permits as it is cold.
     pub fn has_limits(&self) -> bool {
-        !self.limits.is_empty()
+        !self.limits.is_empty() || !self.cold.is_empty()
     }
 
     /// Returns the number of targets that name a limit.
@@ -165,7 +181,12 @@
         facts.filter_map(|(key, fact)| Some((*key, self.merge_fact(*key, *fact, now)?))).collect()
     }
 
-    fn merge_fact(&mut self, key: RateKey, fact: LimitFact, now: Millis) -> Option<LimitChange> {
+    pub(crate) fn merge_fact(
+        &mut self,
+        key: RateKey,
+        fact: LimitFact,
+        now: Millis,
+    ) -> Option<LimitChange> {
         let change = self.limits.merge(key, fact, &self.settings, now);
         self.apply(key, change, now)
     }
@@ -194,6 +215,7 @@
 
     /// Removes what is known of targets that have left.
     pub fn retain_targets(&mut self, is_known: impl Fn(RateKey) -> bool, now: Millis) {
+        self.cold.retain(&is_known, now);
         self.limits.retain(is_known, self.settings.forget_ms, now);
         let limits = &self.limits;
         self.buckets.retain(|key, _| limits.contains(*key));
@@ -203,6 +225,9 @@
     /// Returns how long a request has to wait before [`Self::acquire`] may succeed for a
     /// target, in milliseconds; 0 if it may succeed now.
     pub fn wait_ms(&self, key: RateKey, class: RequestClass, now: Millis) -> Millis {
+        if let Some(wait_ms) = self.cold.wait_ms(key, class, now) {
+            return wait_ms;
+        }
         if self.limits.limit(key).is_none() {
             return 0;
         }
@@ -260,7 +285,7 @@
         if silent_until > now {
             return Some(silent_until - now);
         }
-        (count >= settings.max_pending).then_some(PENDING_RETRY_MS)
+        (count >= settings.max_pending).then_some(settings.pending_retry_ms)
     }
 
     /// Records that no request waits any longer for a response. A permit that arrives later
@@ -269,6 +294,7 @@
         if let Some(ask) = self.pending.get_mut(&number) {
             ask.is_awaited = false;
         }
+        self.abandon_cold(number);
     }
 
     /// Records the response of an issuer. Returns whether the request that waits for it may
--- a/crates/rate/src/settings.rs
+++ b/crates/rate/src/settings.rs
@@ -17,6 +17,8 @@
     pub silence_ms: Millis,
     /// Maximum requests for permits of one target that wait for a response.
     pub max_pending: usize,
+    /// Time in milliseconds after which a router whose requests for permits wait may ask again.
+    pub pending_retry_ms: Millis,
     /// Time in milliseconds by which a peer's observation that a limit has ended counts as
     /// older, as the time that its message took is not known.
     pub message_ms: Millis,
@@ -37,6 +39,7 @@
             permit_ms: 1_000,
             silence_ms: 300,
             max_pending: 4,
+            pending_retry_ms: 10,
             message_ms: 500,
             forget_ms: 30_000,
             max_facts: 1_024,
--- a/crates/rate/tests/fleet/simulation.rs
+++ b/crates/rate/tests/fleet/simulation.rs
@@ -164,7 +164,8 @@
         let live = live.map(|(peer, _)| LivePeer::new(&name(*peer), address(*peer))).collect();
         let known = self.heard_at.len() + 1;
         let known = if known == 1 { plan.routers.min(4) } else { known };
-        self.limiter.set_fleet(FleetView::new(&name(index), true, live, known));
+        let fleet = FleetView::new(&name(index), true, live, known);
+        self.limiter.set_fleet(fleet, now - self.started_at);
     }
 }
 
