target, route: cold times of targets and cold rates of services

Cause: nothing decided until when a target is cold; an entry's remaining time was decoded and not used. Change: ColdTargets takes records and times of domains that were taken back. ServiceSpec::cold is not encoded, as routers of the previous version could not read the configuration then; it is passed on beside it.

--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -5,7 +5,7 @@
 mod version;
 
 pub use table::{
-    CallKind, CallerLimits, EngineSpec, HostRoutes, RouteSpec, RouteTable, RouteTableBuilder,
-    ServiceSpec, WeightedService,
+    CallKind, CallerLimits, ColdSpec, EngineSpec, HostRoutes, RouteSpec, RouteTable,
+    RouteTableBuilder, ServiceSpec, WeightedService,
 };
 pub use version::{VersionGate, VersionVerdict};
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -94,6 +94,15 @@
     pub tokens_per_event: u32,
 }
 
+/// What targets of a service tolerate after their start.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ColdSpec {
+    /// Milliseconds for which a target is cold after its start.
+    pub start_ms: u64,
+    /// Requests per second that a target tolerates while it is cold; over 0.
+    pub per_second: f64,
+}
+
 /// One service.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ServiceSpec {
@@ -102,6 +111,10 @@
     pub max_connections: u32,
     /// `None` for a plain service.
     pub engine: Option<EngineSpec>,
+    /// `None` if targets are never cold. Routers tell each other beside the configuration, as
+    /// earlier ones do not know it.
+    #[serde(skip)]
+    pub cold: Option<ColdSpec>,
 }
 
 /// Size and time limits for requests of callers.
@@ -198,6 +211,21 @@
         self.services.get(name)
     }
 
+    /// Returns which services have targets that may be cold.
+    pub fn cold_specs(&self) -> Vec<(Name, ColdSpec)> {
+        let services = self.services.iter();
+        services.filter_map(|(name, service)| Some((Name::clone(name), service.cold?))).collect()
+    }
+
+    /// Sets which services have targets that may be cold.
+    pub fn set_cold_specs(&mut self, specs: Vec<(Name, ColdSpec)>) {
+        for (name, spec) in specs {
+            if let Some(service) = self.services.get_mut(&name) {
+                service.cold = Some(spec);
+            }
+        }
+    }
+
     /// Returns the client account that a credential belongs to.
     pub fn account(&self, credential: &str) -> Option<&Name> {
         self.credentials.get(credential)
--- a/crates/route/src/version.rs
+++ b/crates/route/src/version.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use crate::RouteTable;
+use base::Name;
+
+use crate::{ColdSpec, RouteTable};
 
 /// Result of offering a configuration to a [`VersionGate`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -31,6 +33,18 @@
         VersionVerdict::Accepted { replaced }
     }
 
+    /// Completes the configuration in force by what a router of an earlier version left out when
+    /// it passed on that version. Returns whether that changed it.
+    pub fn fill_in_cold(&mut self, version: Option<u64>, specs: Vec<(Name, ColdSpec)>) -> bool {
+        let in_force = self.in_force.as_mut();
+        let lacking = in_force.filter(|table| {
+            Some(table.version) == version && !specs.is_empty() && table.cold_specs().is_empty()
+        });
+        let Some(table) = lacking else { return false };
+        Arc::make_mut(table).set_cold_specs(specs);
+        true
+    }
+
     pub fn current(&self) -> Option<Arc<RouteTable>> {
         self.in_force.clone()
     }
--- /dev/null
+++ b/crates/target/src/cold.rs
@@ -0,0 +1,128 @@
+//! Decides until when targets are cold: slower than usual, so that they crash under requests
+//! that they take later. Takes the records of targets and the time, and does no I/O.
+//!
+//! Handles each record once by its revision, whoever sends it. A cold time is never shortened by
+//! what is learned later, except for that of a domain that was taken back, which an entry
+//! written after that replaces.
+
+use std::collections::HashMap;
+
+use base::{Millis, Name};
+
+use crate::entry::TargetEntry;
+use crate::registry::TargetRecord;
+
+/// Time in milliseconds for which a removed target is remembered: its entry may have expired in an
+/// outage of the source and be published again, which is no new start.
+const REMEMBER_MS: Millis = 600_000;
+
+/// What an instance knows of the cold times of one target. All times are on its clock.
+#[derive(Clone, Debug)]
+struct ColdRecord {
+    service: Name,
+    domain: Name,
+    incarnation: u64,
+    /// Revision of the last entry or removal.
+    revision: u64,
+    /// When the time that its entries name has passed; 0 if none did.
+    entry_until: Millis,
+    /// When this instance learned that it had started; `None` if it ran before this instance.
+    started_at: Option<Millis>,
+    /// When its failure domain was taken back, unless a later entry says whether it is cold.
+    taken_back_at: Option<Millis>,
+    /// When it was removed.
+    removed_at: Option<Millis>,
+}
+
+/// Cold times of all targets that one instance knows.
+#[derive(Debug, Default)]
+pub struct ColdTargets {
+    records: HashMap<Name, ColdRecord>,
+    /// Revision of the removal by which each failure domain was last taken back, and when this
+    /// instance learned of it.
+    taken_back: HashMap<Name, (u64, Millis)>,
+}
+
+impl ColdTargets {
+    /// Records an entry or a removal. `is_known_at_start` says whether it is part of the first
+    /// listing after the start of this instance. Returns whether it may change a cold time.
+    pub fn record(&mut self, record: &TargetRecord, is_known_at_start: bool, now: Millis) -> bool {
+        let known = self.records.get_mut(&record.id);
+        if known.as_ref().is_some_and(|known| known.revision >= record.revision) {
+            return false;
+        }
+        let Some(entry) = &record.entry else {
+            if let Some(known) = known {
+                known.revision = record.revision;
+                known.removed_at = Some(now);
+            }
+            return false;
+        };
+        let next = match known {
+            Some(known) if is_same_start(known, entry) => known.clone(),
+            _ => ColdRecord {
+                service: Name::clone(&entry.service),
+                domain: Name::clone(&entry.failure_domain),
+                incarnation: entry.incarnation,
+                revision: 0,
+                entry_until: 0,
+                started_at: (!is_known_at_start).then_some(now),
+                taken_back_at: None,
+                removed_at: None,
+            },
+        };
+        let left_ms = entry.warm_up_ms;
+        let named_until = if left_ms > 0 { now.saturating_add(left_ms) } else { 0 };
+        let taken_back = self.taken_back.get(&entry.failure_domain);
+        let taken_back = taken_back.filter(|(revision, _)| *revision >= record.revision);
+        let next = ColdRecord {
+            service: Name::clone(&entry.service),
+            domain: Name::clone(&entry.failure_domain),
+            revision: record.revision,
+            entry_until: next.entry_until.max(named_until),
+            taken_back_at: taken_back.map(|(_, at)| *at),
+            removed_at: None,
+            ..next
+        };
+        self.records.insert(Name::clone(&record.id), next);
+        true
+    }
+
+    /// Records that a failure domain was taken back from an evacuation by the removal of its key
+    /// at `revision`. Returns whether that is new; its targets are then cold unless their entries
+    /// were written later.
+    pub fn record_taken_back(&mut self, domain: &Name, revision: u64, now: Millis) -> bool {
+        let known = self.taken_back.get(domain);
+        if known.is_some_and(|(known, _)| *known >= revision) {
+            return false;
+        }
+        self.taken_back.insert(Name::clone(domain), (revision, now));
+        let records = self.records.values_mut().filter(|record| record.domain == *domain);
+        for record in records.filter(|record| record.revision <= revision) {
+            record.taken_back_at = Some(now);
+        }
+        true
+    }
+
+    /// Returns until when a target is cold, if `start_ms` is the cold time of its service in
+    /// milliseconds; 0 if it never was.
+    pub fn cold_until(&self, id: &str, start_ms: Millis) -> Millis {
+        let Some(record) = self.records.get(id) else { return 0 };
+        let starts = record.started_at.into_iter().chain(record.taken_back_at);
+        let until = starts.map(|at| at.saturating_add(start_ms)).max().unwrap_or_default();
+        until.max(record.entry_until)
+    }
+
+    /// Forgets targets that were removed long ago.
+    pub fn expire(&mut self, now: Millis) {
+        let is_recent = |at: Millis| now.saturating_sub(at) < REMEMBER_MS;
+        self.records.retain(|_, record| record.removed_at.is_none_or(is_recent));
+    }
+}
+
+/// Whether an entry is that of a process that is known. One that does not say when it started may
+/// have started again whenever it was removed.
+fn is_same_start(known: &ColdRecord, entry: &TargetEntry) -> bool {
+    let may_have_restarted = entry.incarnation == 0 && known.removed_at.is_some();
+    known.incarnation == entry.incarnation && known.service == entry.service && !may_have_restarted
+}
--- a/crates/target/src/entry.rs
+++ b/crates/target/src/entry.rs
@@ -26,8 +26,8 @@
     /// Requests that the target processes concurrently.
     pub slots: u32,
     pub state: TargetState,
-    /// Remaining time in milliseconds for which the target is slower than usual
-    /// after its start, as of the time when the entry was written.
+    /// Remaining time in milliseconds for which the target is cold: slower than usual after its
+    /// start, as of the time when the entry was written.
     pub warm_up_ms: u64,
     /// Version of the target's software, not of its weights. What two versions write does not
     /// fit together. Routers tell each other beside the entry, as earlier ones do not know it;
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod backlog;
 mod backoff;
+mod cold;
 mod entry;
 mod fullness;
 mod health;
@@ -13,6 +14,7 @@
 mod selection;
 
 pub use backoff::{BackoffSettings, TargetBackoffs};
+pub use cold::ColdTargets;
 pub use entry::{TargetEntry, TargetState};
 pub use fullness::FullnessSamples;
 pub use health::{HealthSettings, RequestOutcome, TargetHealth};
