gateway, platform: enforce the limit of cold targets

Cause: the limit had no caller. Change: decodes cold rates and settings, records cold times before targets may be selected, acquires permits, checks them at the write, log lines and a gauge. Without the bound in the settings nothing changes.

--- a/crates/gateway/src/beats.rs
+++ b/crates/gateway/src/beats.rs
@@ -21,6 +21,7 @@
 use tokio::sync::mpsc;
 
 use crate::answers::merge_leaving;
+use crate::cold::{answer_cold_request, fill_in_cold, handle_cold_response};
 use crate::configuration::{follow_configuration, record_version};
 use crate::context::GatewayContext;
 use crate::crashes::log_events;
@@ -284,6 +285,8 @@
         Ok(PeerMessage::OriginResponse(response)) => {
             handle_origin_response(context, response, peer)
         }
+        Ok(PeerMessage::ColdRequest(request)) => answer_cold_request(context, request, peer),
+        Ok(PeerMessage::ColdResponse(response)) => handle_cold_response(context, response),
         Err(cause) => {
             tracing::debug!(unit = "beats", event = "not_understood", %peer, %cause);
         }
@@ -456,7 +459,7 @@
     let response = client.fetch(Method::POST, CHANGES_PATH, body, PEER_TIMEOUT).await?;
     let status = response.status();
     anyhow::ensure!(status.is_success(), "step=fetch_changes peer={peer}: status {status}");
-    let PeerChanges { response, notice, configuration, versions } =
+    let PeerChanges { response, notice, configuration, versions, cold } =
         decode_changes(response.body())?;
     // Recorded before the revision, from which this router may read the source next.
     record_version(context, peer, configuration.version);
@@ -470,6 +473,7 @@
         records: response.records,
         unreadable: Vec::new(),
     };
+    fill_in_cold(context, cold.version, cold.services);
     apply_update(context, update, UpdateOrigin::Peer);
     context.resumes().merge_versions(versions, now);
     record_left_targets(context, notice.left);
--- /dev/null
+++ b/crates/gateway/src/cold.rs
@@ -0,0 +1,231 @@
+//! Targets that are cold: records when that begins and ends, and acquires the permits that
+//! requests to them need.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use base::{Millis, Name};
+use cadence::prelude::*;
+use rate::{ColdAsk, ColdDecision, ColdLimit, ColdRequest, ColdResponse, RateKey, RequestClass};
+use route::{ColdSpec, RouteTable};
+use target::{ColdTargets, TargetEntry, TargetRecord};
+use tokio::sync::oneshot;
+
+use crate::context::GatewayContext;
+use crate::messages::PeerMessage;
+use crate::permits::{PERMIT_TIMEOUT, SILENT_RETRY_MS, SendPermit, rate_key};
+use crate::view::UpdateOrigin;
+
+/// Cold times of the targets.
+#[derive(Debug, Default)]
+pub(crate) struct ColdState {
+    targets: ColdTargets,
+    /// End of the cold time of each target whose beginning was logged.
+    logged: BTreeMap<Name, Millis>,
+}
+
+/// When the permit that a request waits for expires; `None` if it was denied.
+type ColdGrant = Option<Millis>;
+type ColdWaiters = HashMap<u64, (RateKey, oneshot::Sender<ColdGrant>)>;
+
+/// Requests of this router that wait for permits of cold targets.
+#[derive(Debug, Default)]
+pub(crate) struct ColdExchange {
+    waiters: Mutex<ColdWaiters>,
+}
+
+impl ColdExchange {
+    fn waiters(&self) -> MutexGuard<'_, ColdWaiters> {
+        self.waiters.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Records what an update says of the cold times of targets, before it is merged.
+pub(crate) fn record_cold_times(
+    context: &GatewayContext,
+    records: &[TargetRecord],
+    revision: u64,
+    origin: UpdateOrigin,
+) {
+    let now = context.now();
+    let is_known_at_start = context.source().revision == 0 && revision > 0;
+    let changed: Vec<&TargetEntry> = {
+        let targets = &mut context.cold().targets;
+        targets.expire(now);
+        let records = records.iter();
+        let changed = records.filter(|record| targets.record(record, is_known_at_start, now));
+        changed.filter_map(|record| record.entry.as_ref()).collect()
+    };
+    if let Some(table) = context.table() {
+        let origin = format!("{origin:?}");
+        changed.into_iter().for_each(|entry| update_cold(context, &table, entry, &origin));
+    }
+}
+
+/// Records that a failure domain was taken back from an evacuation by the removal of its key at
+/// `revision` of the source: its targets are cold unless they have written their entries since.
+/// Called before they may be selected.
+#[expect(dead_code, reason = "the evacuation of failure domains calls it")]
+pub(crate) fn record_taken_back(context: &GatewayContext, domain: &Name, revision: u64) {
+    let now = context.now();
+    if context.cold().targets.record_taken_back(domain, revision, now) {
+        update_known(context, "TakenBack", |entry| entry.failure_domain == *domain);
+    }
+}
+
+/// Updates the cold times of all targets, as the configuration has changed.
+pub(crate) fn update_all_cold(context: &GatewayContext, origin: UpdateOrigin) {
+    update_known(context, &format!("{origin:?}"), |_| true);
+}
+
+/// Completes the configuration by what routers of earlier versions do not pass on.
+pub(crate) fn fill_in_cold(
+    context: &GatewayContext,
+    version: Option<u64>,
+    specs: Vec<(Name, ColdSpec)>,
+) {
+    if context.versions().fill_in_cold(version, specs) {
+        *context.encoded_configuration() = None;
+        update_known(context, "Configuration", |_| true);
+    }
+}
+
+fn update_known(
+    context: &GatewayContext,
+    origin: &str,
+    is_affected: impl Fn(&TargetEntry) -> bool,
+) {
+    let Some(table) = context.table() else { return };
+    let known: Vec<TargetEntry> =
+        context.targets().known().filter(|entry| is_affected(entry)).cloned().collect();
+    known.iter().for_each(|entry| update_cold(context, &table, entry, origin));
+}
+
+fn update_cold(context: &GatewayContext, table: &RouteTable, entry: &TargetEntry, origin: &str) {
+    let now = context.now();
+    let key = rate_key(entry);
+    let Some(spec) = table.service(&entry.service).and_then(|service| service.cold) else {
+        context.limits().set_cold(key, None, now);
+        return;
+    };
+    let until = context.cold().targets.cold_until(&entry.id, spec.start_ms);
+    if until <= now {
+        return;
+    }
+    let limit = ColdLimit { per_second: spec.per_second as f32, until };
+    let begins = context.limits().set_cold(key, Some(limit), now);
+    if !context.limits().needs_cold_permit(key) {
+        return;
+    }
+    context.cold().logged.insert(Name::clone(&entry.id), until);
+    if begins {
+        let target = &entry.id;
+        let left_ms = until - now;
+        let per_second = spec.per_second;
+        tracing::info!(unit = "limits", event = "cold", %target, left_ms, per_second, origin);
+    }
+}
+
+/// Logs the targets whose cold time has ended.
+pub(crate) fn log_warm_targets(context: &GatewayContext) {
+    let now = context.now();
+    let ended: Vec<(Name, Millis)> = {
+        let logged = &mut context.cold().logged;
+        logged.extract_if(.., |_, until| *until <= now).collect()
+    };
+    for (target, until) in ended {
+        let ago_ms = now - until;
+        tracing::info!(unit = "limits", event = "warm", %target, ago_ms, origin = "Time");
+    }
+}
+
+/// Records that a target has answered a request in full.
+pub(crate) fn record_answered(context: &GatewayContext, entry: &TargetEntry) {
+    let now = context.now();
+    let mut limits = context.limits();
+    if limits.has_cold_targets() {
+        limits.record_answered(rate_key(entry), now);
+    }
+}
+
+/// A request for a permit whose response is awaited.
+struct AwaitedPermit<'a> {
+    context: &'a GatewayContext,
+    number: u64,
+}
+
+impl Drop for AwaitedPermit<'_> {
+    fn drop(&mut self) {
+        let waiter = self.context.cold_permits.waiters().remove(&self.number);
+        if waiter.is_some() {
+            self.context.limits().abandon(self.number);
+        }
+    }
+}
+
+/// Acquires a permit to send a request to a target that is cold, or was so lately. Returns `None`
+/// if the target is not limited for that, and otherwise the time in milliseconds after which a
+/// permit may be available if there is none now.
+pub(crate) async fn acquire_cold(
+    context: &Arc<GatewayContext>,
+    key: RateKey,
+    class: RequestClass,
+) -> Option<Result<SendPermit, Millis>> {
+    let decision = context.limits().acquire_cold(key, class, context.now())?;
+    Some(match decision {
+        ColdDecision::Granted { expires_at } => Ok(SendPermit::cold(context, key, expires_at)),
+        ColdDecision::Unavailable { retry_ms } => Err(retry_ms),
+        ColdDecision::Ask(ask) => ask_issuer(context, key, ask).await,
+    })
+}
+
+async fn ask_issuer(
+    context: &Arc<GatewayContext>,
+    key: RateKey,
+    ask: ColdAsk,
+) -> Result<SendPermit, Millis> {
+    let ColdAsk { issuer, request } = ask;
+    let (sender, receiver) = oneshot::channel();
+    context.cold_permits.waiters().insert(request.number, (key, sender));
+    let awaited = AwaitedPermit { context, number: request.number };
+    context.permits.send(issuer, &PeerMessage::ColdRequest(request));
+    let result = tokio::time::timeout(PERMIT_TIMEOUT, receiver).await;
+    drop(awaited);
+    match result {
+        Ok(Ok(Some(expires_at))) => {
+            context.metrics.incr("permits.granted").ok();
+            Ok(SendPermit::cold(context, key, expires_at))
+        }
+        Ok(Ok(None)) => {
+            context.metrics.incr("permits.denied").ok();
+            let now = context.now();
+            Err(context.limits().wait_ms(key, request.class, now).max(1))
+        }
+        Ok(Err(_)) | Err(_) => {
+            context.metrics.incr("permits.unanswered").ok();
+            tracing::info!(unit = "limits", event = "no_permit", peer = %issuer);
+            Err(SILENT_RETRY_MS)
+        }
+    }
+}
+
+/// Answers a peer that asks for a permit of a cold target.
+pub(crate) fn answer_cold_request(
+    context: &GatewayContext,
+    request: ColdRequest,
+    peer: SocketAddr,
+) {
+    let response = context.limits().respond_cold(request, context.now());
+    context.permits.send(peer, &PeerMessage::ColdResponse(response));
+}
+
+/// Passes the response of an issuer on to the request that waits for it.
+pub(crate) fn handle_cold_response(context: &GatewayContext, response: ColdResponse) {
+    let grant = context.limits().record_cold_permit(response, context.now());
+    let waiter = context.cold_permits.waiters().remove(&response.number);
+    let Some((key, sender)) = waiter else { return };
+    if let Err(Some(expires_at)) = sender.send(grant) {
+        context.limits().give_back_cold(key, expires_at);
+    }
+}
--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -18,7 +18,7 @@
 use crate::context::GatewayContext;
 use crate::messages::{
     CHANGES_PATH, ChangesRequest, ChangesResponse, ConfigurationReferral, MAX_CHANGES_BYTES,
-    ReceiverNotice, append_part, decode_changes,
+    ReceiverNotice, append_part, decode_changes, encode_configuration,
 };
 use crate::platform::SourceUpdate;
 use crate::view::{UpdateOrigin, apply_update};
@@ -162,8 +162,7 @@
     if let Some(encoded) = known.filter(|encoded| encoded.version == table.version) {
         return Ok(encoded);
     }
-    let response = ChangesResponse::of_configuration(Some((**table).clone()));
-    let bytes = rmp_serde::to_vec(&response)?.into();
+    let bytes = encode_configuration(table)?.into();
     let encoded = EncodedConfiguration { version: table.version, bytes };
     *context.encoded_configuration() = Some(encoded.clone());
     Ok(encoded)
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -25,6 +25,7 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
+use crate::cold::{ColdExchange, ColdState};
 use crate::configuration::EncodedConfiguration;
 use crate::permits::PermitExchange;
 use crate::platform::CallFormat;
@@ -128,6 +129,8 @@
     members: Mutex<MemberTable>,
     quarantine: Mutex<PartQuarantine>,
     limits: Mutex<RateLimiter>,
+    cold: Mutex<ColdState>,
+    pub(crate) cold_permits: ColdExchange,
     pub(crate) permits: PermitExchange,
     resumes: Mutex<ResumePolicy>,
     open_streams: Mutex<OpenStreams>,
@@ -218,7 +221,8 @@
         let backoffs = TargetBackoffs::new(origin_hash, BackoffSettings::default());
         let targets = TargetRegistry::with_backoffs(RegistrySettings::default(), backoffs);
         let fleet = FleetView::new(&settings.instance, true, Vec::new(), members.known_count());
-        let limiter = RateLimiter::new(fleet, RateSettings::default());
+        let limiter =
+            RateLimiter::new(fleet, RateSettings::default()).with_cold_bounds(bounds.cold());
         let holders = HolderList::new(settings.listen.peers, HolderSettings::default());
         Arc::new(Self {
             settings,
@@ -238,6 +242,8 @@
             members: Mutex::new(members),
             quarantine: Mutex::new(quarantine),
             limits: Mutex::new(limiter),
+            cold: Mutex::default(),
+            cold_permits: ColdExchange::default(),
             permits: PermitExchange::default(),
             resumes: Mutex::new(ResumePolicy::new(ResumeSettings::default())),
             open_streams: Mutex::default(),
@@ -324,6 +330,10 @@
         lock(&self.limits)
     }
 
+    pub(crate) fn cold(&self) -> MutexGuard<'_, ColdState> {
+        lock(&self.cold)
+    }
+
     pub(crate) fn resumes(&self) -> MutexGuard<'_, ResumePolicy> {
         lock(&self.resumes)
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod beats;
 mod body;
 mod call;
+mod cold;
 mod configuration;
 mod connections;
 mod context;
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -6,9 +6,9 @@
 use base::{Millis, Name};
 use mesh::{DomainMembers, Heartbeat, ReportRequest, SourceNotice};
 use quarantine::QuarantineNotice;
-use rate::{LimitNotice, PermitRequest, PermitResponse};
+use rate::{ColdRequest, ColdResponse, LimitNotice, PermitRequest, PermitResponse};
 use resume::{HolderAnswer, StreamKey, StreamRecord, VersionNotice};
-use route::RouteTable;
+use route::{ColdSpec, RouteTable};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use target::{InFlightLoad, InFlightTotals, LeavingTarget, LeftTarget, TargetIdHash, TargetRecord};
@@ -93,6 +93,8 @@
     StreamsBegan(Vec<StreamRecord>),
     OriginRequest(OriginRequest),
     OriginResponse(OriginResponse),
+    ColdRequest(ColdRequest),
+    ColdResponse(ColdResponse),
 }
 
 /// Asks a holder which software version began a stream.
@@ -282,6 +284,40 @@
     }
 }
 
+/// Which services of the configuration have targets that may be cold. It follows the versions of
+/// streams in the same response, where routers of earlier versions do not read it.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub(crate) struct ColdNotice {
+    /// Version of the configuration.
+    pub(crate) version: Option<u64>,
+    pub(crate) services: Vec<(Name, ColdSpec)>,
+}
+
+impl ColdNotice {
+    pub(crate) fn of(table: Option<&RouteTable>) -> Self {
+        let services = table.map(RouteTable::cold_specs).unwrap_or_default();
+        Self { version: table.map(|table| table.version), services }
+    }
+}
+
+/// Encodes a configuration, and what follows it.
+///
+/// # Errors
+/// Returns an error if the configuration can't be encoded.
+pub(crate) fn encode_configuration(
+    table: &RouteTable,
+) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+    let response = ChangesResponse::of_configuration(Some(table.clone()));
+    let mut bytes = rmp_serde::to_vec(&response)?;
+    // Parts are told apart by their order.
+    append_part(&mut bytes, &ChangesNotice::default());
+    append_part(&mut bytes, &ConfigurationNotice { version: Some(table.version) });
+    append_part(&mut bytes, &SoftwareNotice::of(&[]));
+    append_part(&mut bytes, &VersionNotice::default());
+    append_part(&mut bytes, &ColdNotice::of(Some(table)));
+    Ok(bytes)
+}
+
 /// A decoded response to a request for changes.
 #[derive(Debug)]
 pub(crate) struct PeerChanges {
@@ -291,6 +327,7 @@
     pub(crate) configuration: ConfigurationNotice,
     /// What the peer has seen of software versions.
     pub(crate) versions: VersionNotice,
+    pub(crate) cold: ColdNotice,
 }
 
 /// Decodes the response of a peer to a request for changes, and what follows it.
@@ -304,5 +341,11 @@
     let software: SoftwareNotice = decode_part(&mut body).unwrap_or_default();
     software.apply(&mut response.records);
     let versions = decode_part(&mut body).unwrap_or_default();
-    Ok(PeerChanges { response, notice, configuration, versions })
+    let cold: ColdNotice = decode_part(&mut body).unwrap_or_default();
+    if let Some(table) = &mut response.table
+        && Some(table.version) == cold.version
+    {
+        table.set_cold_specs(cold.services.clone());
+    }
+    Ok(PeerChanges { response, notice, configuration, versions, cold })
 }
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -16,15 +16,16 @@
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 
+use crate::cold::acquire_cold;
 use crate::context::GatewayContext;
 use crate::messages::{PeerMessage, encode_peer_message};
 use crate::platform::NamedLimit;
 
 /// Time that a request waits for an issuer: a round trip between failure domains, with both
 /// routers somewhat late.
-const PERMIT_TIMEOUT: Duration = Duration::from_millis(50);
+pub(crate) const PERMIT_TIMEOUT: Duration = Duration::from_millis(50);
 /// Time in milliseconds after which an issuer that did not respond may be reached.
-const SILENT_RETRY_MS: Millis = 300;
+pub(crate) const SILENT_RETRY_MS: Millis = 300;
 
 /// Requests of this router that wait for issuers.
 #[derive(Debug, Default)]
@@ -59,15 +60,33 @@
     context: Arc<GatewayContext>,
     /// `None` if the target names no limit.
     key: Option<RateKey>,
+    /// When a permit of a target that is cold, or was so lately, expires.
+    expires_at: Option<Millis>,
     is_used: bool,
 }
 
 impl SendPermit {
     fn new(context: &Arc<GatewayContext>, key: Option<RateKey>) -> Self {
-        Self { context: Arc::clone(context), key, is_used: false }
+        Self { context: Arc::clone(context), key, expires_at: None, is_used: false }
     }
 
-    /// Whether the target names a limit.
+    /// Creates a permit of a target that is cold, or was so lately.
+    pub(crate) fn cold(context: &Arc<GatewayContext>, key: RateKey, expires_at: Millis) -> Self {
+        let mut permit = Self::new(context, Some(key));
+        permit.expires_at = Some(expires_at);
+        permit
+    }
+
+    /// Whether the request may be written now: the permit has not expired, and the target has not
+    /// become cold since a permit without a time was acquired.
+    pub(crate) fn is_valid(&self, entry: &TargetEntry, now: Millis) -> bool {
+        match self.expires_at {
+            Some(expires_at) => now < expires_at,
+            None => !self.context.limits().needs_cold_permit(rate_key(entry)),
+        }
+    }
+
+    /// Whether the target names a limit, or is cold.
     pub(crate) fn is_limited(&self) -> bool {
         self.key.is_some()
     }
@@ -82,7 +101,10 @@
     fn drop(&mut self) {
         if let Some(key) = self.key.filter(|_| !self.is_used) {
             let now = self.context.now();
-            self.context.limits().give_back(key, now);
+            match self.expires_at {
+                Some(expires_at) => self.context.limits().give_back_cold(key, expires_at),
+                None => self.context.limits().give_back(key, now),
+            }
         }
     }
 }
@@ -120,6 +142,9 @@
         return Ok(SendPermit::new(context, None));
     }
     let key = rate_key(entry);
+    if let Some(result) = acquire_cold(context, key, class).await {
+        return result;
+    }
     let decision = context.limits().acquire(key, class, context.now());
     match decision {
         PermitDecision::Unlimited => Ok(SendPermit::new(context, None)),
@@ -240,13 +265,15 @@
     let now = context.now();
     let members = context.members();
     let known = members.known_count();
-    let live = members.live(now).filter(|view| !view.is_draining);
+    let (draining, live): (Vec<_>, Vec<_>) = members.live(now).partition(|view| view.is_draining);
+    drop(members);
+    let live = live.iter();
     let live =
         live.map(|view| LivePeer::new(&view.origin.instance, view.addresses.beats)).collect();
-    drop(members);
+    let draining = draining.iter().map(|view| &*view.origin.instance);
     let is_candidate = !context.is_draining();
     let fleet = FleetView::new(&context.settings.instance, is_candidate, live, known);
-    context.limits().set_fleet(fleet);
+    context.limits().set_fleet(fleet.with_draining(draining), now);
 }
 
 /// Forgets the limits of targets that have left.
--- a/crates/gateway/src/resources.rs
+++ b/crates/gateway/src/resources.rs
@@ -7,6 +7,7 @@
 
 use cadence::prelude::*;
 
+use crate::cold::log_warm_targets;
 use crate::context::GatewayContext;
 
 /// Time between two samples.
@@ -18,6 +19,7 @@
 pub(crate) async fn sample_resources(context: Arc<GatewayContext>) {
     while !context.shutdown.is_cancelled() {
         log_sample(&context);
+        log_warm_targets(&context);
         tokio::time::sleep(SAMPLE_PERIOD).await;
     }
 }
@@ -47,6 +49,7 @@
         ("held_bytes", Some(held_bytes as u64)),
         ("saturated", Some(u64::from(is_saturated))),
         ("limited_targets", Some(context.limits().limited_targets() as u64)),
+        ("cold_targets", Some(context.limits().cold_targets(context.now()) as u64)),
     ];
     for (name, value) in gauges {
         if let Some(value) = value {
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -15,6 +15,7 @@
 
 use crate::answers::{record_backoff, record_leaving};
 use crate::call::AdmittedCall;
+use crate::cold::record_answered;
 use crate::context::GatewayContext;
 use crate::crashes::{crash_suspects, may_retry, record_complete, record_crash};
 use crate::headers::build_request;
@@ -109,6 +110,7 @@
     /// Records that the response was complete, which its target survived.
     pub(crate) fn record_complete(&self) {
         record_complete(&self.worker.context, &self.suspects);
+        record_answered(&self.worker.context, &self.entry);
     }
 
     fn remove(&mut self, outcome: Option<RequestOutcome>) {
@@ -363,6 +365,10 @@
             outstanding.finish(RequestOutcome::NotAttempted);
             return AttemptEnd::NotSent("the target was withdrawn before the write".into());
         }
+        if !permit.is_valid(&outstanding.entry, context.now()) {
+            outstanding.finish(RequestOutcome::NotAttempted);
+            return AttemptEnd::NotSent("no valid permit at the write".into());
+        }
         let request = match build_request(worker, call, &outstanding.entry, attempts.last_event_id)
         {
             Ok(request) => request,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -12,7 +12,9 @@
 use crate::body::BodyReader;
 use crate::configuration::{ConfigurationAnswer, answer_request};
 use crate::context::GatewayContext;
-use crate::messages::{CHANGES_PATH, SoftwareNotice, append_part, decode_changes_request};
+use crate::messages::{
+    CHANGES_PATH, ColdNotice, SoftwareNotice, append_part, decode_changes_request,
+};
 use crate::relay::RelayBody;
 use crate::view::{changes_notice, changes_since, configuration_notice};
 
@@ -97,6 +99,7 @@
             append_part(&mut response, &configuration_notice(&context));
             append_part(&mut response, &SoftwareNotice::of(&changes.records));
             append_part(&mut response, &context.resumes().version_notice(context.now()));
+            append_part(&mut response, &ColdNotice::of(context.table().as_deref()));
             full_response(PEER_MESSAGE_TYPE, response)
         }
         Err(cause) => not_encoded(&cause),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use base::Name;
+use rate::ColdBounds;
 use serde::{Deserialize, Serialize};
 use target::{SelectionSettings, TargetSelection};
 
@@ -64,6 +65,20 @@
     pub share_window_s: f64,
     /// Longest lease of an address response, in seconds.
     pub longest_lease_s: f64,
+    /// Factor of the rate that a cold target tolerates which it gets from all instances at most
+    /// in any one second. `None` if the platform has no such bound; cold targets are then not
+    /// limited.
+    pub cold_overage: Option<f64>,
+    /// Requests in any one second beyond that factor.
+    pub cold_slack: Option<f64>,
+}
+
+impl BoundSettings {
+    /// Returns the bound of cold targets, if there is one.
+    pub fn cold(&self) -> Option<ColdBounds> {
+        let overage = self.cold_overage?;
+        Some(ColdBounds { overage, slack: self.cold_slack.unwrap_or_default() })
+    }
 }
 
 impl Default for BoundSettings {
@@ -75,6 +90,8 @@
             repeat_window_s: 10.0,
             share_window_s: 4.0,
             longest_lease_s: 5.0,
+            cold_overage: None,
+            cold_slack: None,
         }
     }
 }
@@ -186,6 +203,8 @@
         for (key, value) in [
             ("bounds.repeat_ratio", bounds.repeat_ratio),
             ("bounds.repeat_allowance", bounds.repeat_allowance),
+            ("bounds.cold_overage", bounds.cold_overage.unwrap_or_default()),
+            ("bounds.cold_slack", bounds.cold_slack.unwrap_or_default()),
         ] {
             anyhow::ensure!(
                 value >= 0.0,
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -5,6 +5,7 @@
 use route::VersionVerdict;
 use target::{LeftTarget, RecordChange};
 
+use crate::cold::{fill_in_cold, record_cold_times, update_all_cold};
 use crate::context::GatewayContext;
 use crate::messages::{ChangesNotice, ChangesRequest, ChangesResponse, ConfigurationNotice};
 use crate::permits::retain_targets;
@@ -40,7 +41,9 @@
         let version = table.version;
         let capacity = table.capacity_tokens_per_s;
         let longest_stream_ms = table.longest_stream_ms();
+        let cold_specs = table.cold_specs();
         let verdict = context.versions().offer(table);
+        fill_in_cold(context, Some(version), cold_specs);
         if matches!(verdict, VersionVerdict::Accepted { .. }) {
             context.shares().set_capacity(capacity);
             context.resumes().set_longest_stream(longest_stream_ms, now);
@@ -53,8 +56,11 @@
                 behind_ms,
                 late_ms,
             );
+            update_all_cold(context, origin);
         }
     }
+    // Before the targets may be selected.
+    record_cold_times(context, &update.records, update.revision, origin);
     let changes = if origin == UpdateOrigin::Listing {
         context.targets().merge_listing(update.records, update.revision, now)
     } else {
