--- a/crates/gateway/src/resources.rs
+++ b/crates/gateway/src/resources.rs
@@ -41,6 +41,8 @@
         held_bytes,
         is_saturated,
     );
+    let limited_targets = context.limits().limited_targets();
+    let cold_targets = context.limits().cold_targets(context.now());
     let gauges = [
         ("resident_bytes", resident_bytes),
         ("descriptors", descriptors),
@@ -48,8 +50,8 @@
         ("open_calls", Some(calls as u64)),
         ("held_bytes", Some(held_bytes as u64)),
         ("saturated", Some(u64::from(is_saturated))),
-        ("limited_targets", Some(context.limits().limited_targets() as u64)),
-        ("cold_targets", Some(context.limits().cold_targets(context.now()) as u64)),
+        ("limited_targets", Some(limited_targets as u64)),
+        ("cold_targets", Some(cold_targets as u64)),
     ];
     for (name, value) in gauges {
         if let Some(value) = value {
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -24,7 +24,7 @@
 /// trial of one of them takes about as long.
 const MIN_BACKOFF_RETRY_MS: u64 = 200;
 /// Number of permits that a request may be denied before it is sent only to targets that name
-/// no limit.
+/// no limit and are not cold.
 const MAX_DENIED_PERMITS: usize = 3;
 
 /// Estimates on which the selection of a target was based.
@@ -128,7 +128,8 @@
     candidates.retain(|entry| {
         let key = rate_key(entry);
         let own_denial = denied.iter().find(|denied| denied.target == entry.id);
-        let is_excluded = denied.len() >= MAX_DENIED_PERMITS && limits.limit(key).is_some();
+        let is_limited = limits.limit(key).is_some() || limits.needs_cold_permit(key);
+        let is_excluded = denied.len() >= MAX_DENIED_PERMITS && is_limited;
         let wait_ms = own_denial.map_or_else(
             || limits.wait_ms(key, class, now).max(u64::from(is_excluded)),
             |denied| denied.retry_ms,
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -77,13 +77,14 @@
     context.fullness().mean(&call.service, context.now()).unwrap_or(announced)
 }
 
-/// Returns the request rates that the targets name.
+/// Returns the request rates that the targets name, or tolerate as they are cold.
 fn rate_limits(context: &GatewayContext, entries: &[Arc<TargetEntry>]) -> Vec<Option<f64>> {
     let limits = context.limits();
     if !limits.has_limits() {
         return Vec::new();
     }
-    entries.iter().map(|entry| limits.limit(rate_key(entry))).collect()
+    let now = context.now();
+    entries.iter().map(|entry| limits.limit_at(rate_key(entry), now)).collect()
 }
 
 /// Refuses a request over its account's share unless the selected target has
--- a/crates/rate/src/cold_permits.rs
+++ b/crates/rate/src/cold_permits.rs
@@ -72,8 +72,10 @@
         self.targets.is_empty()
     }
 
-    pub(crate) fn limit(&self, key: RateKey) -> Option<f64> {
-        self.targets.get(&key).map(|target| f64::from(target.limit.per_second))
+    /// Returns what a target tolerates in requests per second, if it is cold.
+    pub(crate) fn limit(&self, key: RateKey, now: Millis) -> Option<f64> {
+        let target = self.targets.get(&key).filter(|target| now < target.limit.until);
+        target.map(|target| f64::from(target.limit.per_second))
     }
 
     pub(crate) fn retain(&mut self, is_known: impl Fn(RateKey) -> bool, now: Millis) {
--- a/crates/rate/src/limiter.rs
+++ b/crates/rate/src/limiter.rs
@@ -133,10 +133,15 @@
         self.fleet = fleet;
     }
 
+    /// Returns the limit of a target in requests per second, if it names one.
+    pub fn limit(&self, key: RateKey) -> Option<f64> {
+        self.limits.limit(key)
+    }
+
     /// Returns the limit of a target in requests per second, if it names one or is cold; the
     /// lower one if both.
-    pub fn limit(&self, key: RateKey) -> Option<f64> {
-        let limits = [self.limits.limit(key), self.cold.limit(key)];
+    pub fn limit_at(&self, key: RateKey, now: Millis) -> Option<f64> {
+        let limits = [self.limits.limit(key), self.cold.limit(key, now)];
         limits.into_iter().flatten().min_by(f64::total_cmp)
     }
 
--- a/crates/rate/tests/cold/main.rs
+++ b/crates/rate/tests/cold/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the limit of cold targets over simulated fleets.
 
+mod limits;
 #[path = "../../../quarantine/tests/common/random.rs"]
 mod random;
 mod simulation;
@@ -107,6 +108,27 @@
     }
 }
 
+/// Guards against two issuers that do not hear each other and each issue the whole rate, as both
+/// hear the majority.
+#[test]
+fn two_issuers_without_a_link_stay_under_the_bound_together() {
+    for per_second in [8.9, 16.0] {
+        for instances in [6, 65] {
+            let worst = (1..instances).step_by(instances / 5).map(|other| {
+                let count = other + 1;
+                let link =
+                    Fault { kind: FaultKind::Link, first: 0, count, from_ms: 0, until_ms: 40_000 };
+                let base = Plan::new(instances, per_second);
+                // Many targets, so that the two are the first ones for some.
+                let plan = Plan { faults: vec![link], enters_at: vec![15_000; 24], ..base };
+                run(&plan).worst(&plan).0
+            });
+            let worst = worst.max().unwrap_or_default();
+            println!("{instances} instances without a link: {worst} in the worst second");
+        }
+    }
+}
+
 /// Guards against a target that gets all waiting work as soon as its cold time ends, and against
 /// a rate that no longer grows though the target answers.
 #[test]
@@ -128,6 +150,7 @@
     let plan = instances.prop_flat_map(|instances| {
         let kind = prop_oneof![
             Just(FaultKind::Cut),
+            Just(FaultKind::Link),
             Just(FaultKind::Silence),
             Just(FaultKind::Freeze),
             Just(FaultKind::Down),
--- a/crates/rate/tests/cold/simulation.rs
+++ b/crates/rate/tests/cold/simulation.rs
@@ -39,6 +39,8 @@
 pub enum FaultKind {
     /// The instances reach each other and no others.
     Cut,
+    /// The first and the last of the instances do not reach each other.
+    Link,
     /// No instance reaches any other.
     Silence,
     /// The instances do nothing, and messages to them wait.
@@ -264,6 +266,10 @@
             let cut = fault.first..fault.first + fault.count;
             match fault.kind {
                 FaultKind::Cut if is_active => cut.contains(&from) == cut.contains(&to),
+                FaultKind::Link if is_active => {
+                    let ends = [fault.first, fault.first + fault.count - 1];
+                    from == to || !ends.contains(&from) || !ends.contains(&to)
+                }
                 FaultKind::Silence if is_active => from == to,
                 _ => true,
             }
