mesh, rate: issuers without a link between them stay under the bound together

Cause: an instance that never heard the elected one took itself for it: 20 requests in a second, 18 allowed (two_issuers_without_a_link_stay_under_the_bound_together, 6 instances). Change: addresses that peers list and this instance does not hear count as routers that may issue.

--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -265,6 +265,7 @@
     let now = context.now();
     let members = context.members();
     let known = members.known_count();
+    let unheard = members.unheard_count(now);
     let (draining, live): (Vec<_>, Vec<_>) = members.live(now).partition(|view| view.is_draining);
     drop(members);
     let live = live.iter();
@@ -273,7 +274,7 @@
     let draining = draining.iter().map(|view| &*view.origin.instance);
     let is_candidate = !context.is_draining();
     let fleet = FleetView::new(&context.settings.instance, is_candidate, live, known);
-    context.limits().set_fleet(fleet.with_draining(draining), now);
+    context.limits().set_fleet(fleet.with_draining(draining).with_unheard(unheard), now);
 }
 
 /// Forgets the limits of targets that have left.
--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -15,6 +15,7 @@
 //! silence then says nothing about them: that time does not count towards their age.
 
 mod reports;
+mod unheard;
 
 use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::net::SocketAddr;
--- a/crates/rate/src/fleet.rs
+++ b/crates/rate/src/fleet.rs
@@ -42,13 +42,15 @@
     known: usize,
     /// Hashes of the names of live routers that shut down.
     draining: Vec<u64>,
+    /// Number of routers that peers hear and this one does not.
+    unheard: usize,
 }
 
 impl FleetView {
     pub fn new(instance: &str, is_candidate: bool, live: Vec<LivePeer>, known: usize) -> Self {
         let known = known.max(live.len() + 1);
         let own_hash = stable_hash(&[instance]);
-        Self { own_hash, is_candidate, live, known, draining: Vec::new() }
+        Self { own_hash, is_candidate, live, known, draining: Vec::new(), unheard: 0 }
     }
 
     /// Sets the names of the live routers that shut down, which issue nothing more.
@@ -57,6 +59,11 @@
         Self { draining, ..self }
     }
 
+    /// Sets the number of routers that peers hear and this one does not; the default is 0.
+    pub fn with_unheard(self, unheard: usize) -> Self {
+        Self { unheard, ..self }
+    }
+
     /// Returns the peer that issues permits for a target; `None` if this router does.
     pub(crate) fn issuer(&self, key: RateKey) -> Option<SocketAddr> {
         let weight = |hash| mix_hashes(hash, key.hash());
@@ -110,7 +117,10 @@
     /// more than the bound, also if each of them believes to be elected.
     pub(crate) fn role(&self, key: RateKey, now: Millis) -> IssuerRole {
         let live = self.view.live.len();
-        let known = self.view.known.max(self.heard.len() + 1);
+        // Peers may still hear some of those that this router misses.
+        let missing = self.heard.values().flatten().count();
+        let never_heard = self.view.unheard.saturating_sub(missing);
+        let known = self.view.known.max(self.heard.len() + 1) + never_heard;
         let knows_nobody = self.heard.is_empty() && known > 1;
         if now < SETTLE_MS || knows_nobody || self.view.issuer(key).is_some() {
             return IssuerRole::None;
@@ -121,11 +131,12 @@
         let preferred = preferred.filter(|(hash, _)| mix_hashes(*hash, key.hash()) > own_weight);
         let lost: Vec<Millis> = preferred.map(|(_, missing_at)| missing_at).collect();
         let has_settled = |at: &Millis| now >= at + SETTLE_MS;
-        match lost.len() {
+        // One that was never heard may be elected anywhere, as its name is not known.
+        match lost.len() + never_heard {
             0 => IssuerRole::Elected { fraction },
             1 if fraction > 0.5 => IssuerRole::Second { fraction },
             // The majority on the other side of a cut has noticed it too by now.
-            _ if fraction <= 0.5 && lost.iter().all(has_settled) => {
+            _ if never_heard == 0 && fraction <= 0.5 && lost.iter().all(has_settled) => {
                 IssuerRole::Elected { fraction }
             }
             _ => IssuerRole::None,
