mesh, route, rate, gateway: tests of unheard peers, completed configurations, late connections, settings

Cause: these rules had no test of their own. Result: mesh, route, target and gateway tests pass. The rest that the second issuer gets raised to the whole rate was not seen failing (27 of 29).

--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -25,6 +25,7 @@
     // The two baselines: selection by load only, and by home target only.
     check_with("choice", "home_until", json!(0.0)).unwrap();
     check_with("choice", "home_until", json!(1000.0)).unwrap();
+    check_with("bounds", "cold_overage", json!(1.5)).unwrap();
 }
 
 #[test]
@@ -32,6 +33,8 @@
     let invalid = [
         ("bounds", "stop_s", json!(0.0)),
         ("bounds", "repeat_ratio", json!(-0.1)),
+        ("bounds", "cold_overage", json!(-1.0)),
+        ("bounds", "cold_slack", json!(-1.0)),
         ("admission", "headroom", json!(0.0)),
         ("admission", "return_share", json!(-1.0)),
         ("choice", "most_homes", json!(0)),
--- a/crates/mesh/tests/membership.rs
+++ b/crates/mesh/tests/membership.rs
@@ -373,3 +373,19 @@
         (0..40).map(|step| policy.decide(&peers, None, false, START * 4 + step * 50)).collect();
     assert!(verdicts.contains(&ReaderVerdict::Read));
 }
+
+/// Guards against a router that takes itself for the only one to do a task, as it does not hear the
+/// one that peers hear.
+#[test]
+fn routers_without_a_link_know_that_there_is_another() {
+    let mut fleet = Fleet::start(6);
+    for _ in 0..60 {
+        fleet.round(|from, to| from.min(to) == 0 && from.max(to) == 5);
+    }
+    let unheard =
+        |index: usize| fleet.tables[index].as_ref().map(|table| table.unheard_count(fleet.now));
+    assert_eq!(unheard(0), Some(1));
+    assert_eq!(unheard(5), Some(1));
+    // The stale seed is not listed by any peer.
+    assert_eq!(unheard(2), Some(0));
+}
--- a/crates/rate/tests/cold/main.rs
+++ b/crates/rate/tests/cold/main.rs
@@ -108,19 +108,36 @@
     }
 }
 
+/// Guards against permits that are used late and all at once, beside those that are issued then.
+#[test]
+fn permits_that_wait_for_connections_expire() {
+    for per_second in [8.9, 16.0] {
+        for stall_ms in [250, 500, 900, 940] {
+            let plan = Plan { stall_ms, ..Plan::new(6, per_second) };
+            let (worst, ..) = run(&plan).worst(&plan);
+            println!(
+                "{per_second}/s, connections every {stall_ms} ms: {worst} in the worst second"
+            );
+        }
+    }
+}
+
 /// Guards against two issuers that do not hear each other and each issue the whole rate, as both
 /// hear the majority.
 #[test]
 fn two_issuers_without_a_link_stay_under_the_bound_together() {
     for per_second in [8.9, 16.0] {
-        for instances in [6, 65] {
+        for instances in [6, 12, 65] {
             let worst = (1..instances).step_by(instances / 5).map(|other| {
                 let count = other + 1;
                 let link =
                     Fault { kind: FaultKind::Link, first: 0, count, from_ms: 0, until_ms: 40_000 };
                 let base = Plan::new(instances, per_second);
                 // Many targets, so that the two are the first ones for some.
-                let plan = Plan { faults: vec![link], enters_at: vec![15_000; 24], ..base };
+                // Callers of either alone want the whole rate.
+                let demand = base.demand * instances as f64;
+                let enters_at = vec![15_000; 24];
+                let plan = Plan { faults: vec![link], enters_at, demand, until_ms: 22_000, ..base };
                 run(&plan).worst(&plan).0
             });
             let worst = worst.max().unwrap_or_default();
--- a/crates/rate/tests/cold/simulation.rs
+++ b/crates/rate/tests/cold/simulation.rs
@@ -65,6 +65,8 @@
     pub bounds: ColdBounds,
     /// Requests per second for each target.
     pub demand: f64,
+    /// Connections are made at multiples of this time only, in milliseconds.
+    pub stall_ms: u64,
     /// Messages that are lost, in percent.
     pub loss: u64,
     pub faults: Vec<Fault>,
@@ -82,6 +84,7 @@
             per_second,
             bounds: ColdBounds { overage: 1.5, slack: 5.0 },
             demand: 10.0 * f64::from(per_second),
+            stall_ms: STEP_MS,
             loss: 1,
             faults: Vec::new(),
             until_ms: 35_000,
@@ -380,7 +383,7 @@
     fn connect(&mut self, index: usize, target: usize, expires_at: u64) {
         let is_slow = self.random.below(20) == 0;
         let at = self.now + if is_slow { self.random.below(400) } else { self.random.below(5) };
-        let at = at.next_multiple_of(STEP_MS).max(self.now + STEP_MS);
+        let at = at.max(self.now + STEP_MS).next_multiple_of(self.plan.stall_ms);
         self.messages.entry(at).or_default().push((index, Message::Connected(target, expires_at)));
     }
 
--- a/crates/route/tests/selection.rs
+++ b/crates/route/tests/selection.rs
@@ -1,7 +1,9 @@
 //! Selection of a route, and of the configuration in force.
 
-use route::{CallKind, CallerLimits, RouteSpec, RouteTable, RouteTableBuilder, WeightedService};
-use route::{VersionGate, VersionVerdict};
+use route::{
+    CallKind, CallerLimits, ColdSpec, RouteSpec, RouteTable, RouteTableBuilder, ServiceSpec,
+    VersionGate, VersionVerdict, WeightedService,
+};
 
 const LIMITS: CallerLimits = CallerLimits {
     head_bytes: 16_384,
@@ -75,3 +77,18 @@
     assert_eq!(gate.offer(table(12)), VersionVerdict::Accepted { replaced: Some(7) });
     assert_eq!(gate.version(), Some(12));
 }
+
+/// Guards against targets that are never cold as a router of an earlier version passed on the
+/// configuration, and against a configuration that is completed by another version's.
+#[test]
+fn cold_rates_complete_the_version_that_they_belong_to() {
+    let service = ServiceSpec { name: "one".into(), max_connections: 1, engine: None, cold: None };
+    let mut gate = VersionGate::default();
+    let builder = RouteTableBuilder::new(3, LIMITS).service(service);
+    gate.offer(builder.build());
+    let specs = vec![("one".into(), ColdSpec { start_ms: 3_000, per_second: 8.9 })];
+    assert!(!gate.fill_in_cold(Some(2), specs.clone()));
+    assert!(gate.fill_in_cold(Some(3), specs.clone()));
+    assert!(!gate.fill_in_cold(Some(3), specs.clone()), "it is known");
+    assert_eq!(gate.current().map(|table| table.cold_specs()), Some(specs));
+}
