--- a/crates/gateway/src/resources.rs
+++ b/crates/gateway/src/resources.rs
@@ -7,6 +7,7 @@
 
 use cadence::prelude::*;
 
+use crate::cold::log_warm_targets;
 use crate::context::GatewayContext;
 use crate::view::expire_domains;
 
@@ -19,6 +20,7 @@
 pub(crate) async fn sample_resources(context: Arc<GatewayContext>) {
     while !context.shutdown.is_cancelled() {
         log_sample(&context);
+        log_warm_targets(&context);
         tokio::time::sleep(SAMPLE_PERIOD).await;
     }
 }
@@ -41,6 +43,8 @@
         held_bytes,
         is_saturated,
     );
+    let limited_targets = context.limits().limited_targets();
+    let cold_targets = context.limits().cold_targets(context.now());
     let gauges = [
         ("resident_bytes", resident_bytes),
         ("descriptors", descriptors),
@@ -48,7 +52,8 @@
         ("open_calls", Some(calls as u64)),
         ("held_bytes", Some(held_bytes as u64)),
         ("saturated", Some(u64::from(is_saturated))),
-        ("limited_targets", Some(context.limits().limited_targets() as u64)),
+        ("limited_targets", Some(limited_targets as u64)),
+        ("cold_targets", Some(cold_targets as u64)),
         ("evacuated_domains", Some(context.targets().evacuated_domains(context.now()) as u64)),
     ];
     for (name, value) in gauges {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -5,6 +5,7 @@
 use route::VersionVerdict;
 use target::{DomainChange, DomainListing, DomainRecord, LeftTarget, RecordChange};
 
+use crate::cold::{fill_in_cold, record_cold_times, record_taken_back, update_all_cold};
 use crate::context::GatewayContext;
 use crate::messages::{ChangesNotice, ChangesRequest, ChangesResponse, ConfigurationNotice};
 use crate::permits::retain_targets;
@@ -38,7 +39,7 @@
     expire_domains(context);
     // Evacuations come first, so that no target of the update is used in spite of one.
     let domain_changes = merge_domains(context, update.domains, update.revision, origin);
-    log_domains(context, &domain_changes, origin);
+    record_domain_changes(context, &domain_changes, origin);
     for (key, cause) in &update.unreadable {
         tracing::warn!(unit = "view", event = "unreadable_item", key, cause);
     }
@@ -46,7 +47,9 @@
         let version = table.version;
         let capacity = table.capacity_tokens_per_s;
         let longest_stream_ms = table.longest_stream_ms();
+        let cold_specs = table.cold_specs();
         let verdict = context.versions().offer(table);
+        fill_in_cold(context, Some(version), cold_specs);
         if matches!(verdict, VersionVerdict::Accepted { .. }) {
             context.shares().set_capacity(capacity);
             context.resumes().set_longest_stream(longest_stream_ms, now);
@@ -59,8 +62,11 @@
                 behind_ms,
                 late_ms,
             );
+            update_all_cold(context, origin);
         }
     }
+    // Before the targets may be selected.
+    record_cold_times(context, &update.records, update.revision, origin);
     let changes = if origin == UpdateOrigin::Listing {
         context.targets().merge_listing(update.records, update.revision, now)
     } else {
@@ -122,7 +128,7 @@
 /// Merges what a peer knows of evacuated failure domains.
 pub(crate) fn apply_peer_domains(context: &GatewayContext, listing: DomainListing) {
     let changes = context.targets().merge_peer_domains(listing, context.now());
-    log_domains(context, &changes, UpdateOrigin::Peer);
+    record_domain_changes(context, &changes, UpdateOrigin::Peer);
 }
 
 /// Ends the evacuations that a restored source has lacked for too long.
@@ -130,14 +136,20 @@
     let ended = context.targets().expire_domains(context.now());
     let changes: Vec<_> =
         ended.into_iter().map(|record| (record, DomainChange::TakenBack)).collect();
-    log_domains(context, &changes, UpdateOrigin::Expiry);
+    record_domain_changes(context, &changes, UpdateOrigin::Expiry);
 }
 
-fn log_domains(
+/// Logs failure domains whose evacuation began or ended. The targets of those that were taken back
+/// may have become cold meanwhile.
+fn record_domain_changes(
     context: &GatewayContext,
     changes: &[(DomainRecord, DomainChange)],
     origin: UpdateOrigin,
 ) {
+    let taken_back = changes.iter().filter(|(_, change)| *change == DomainChange::TakenBack);
+    for (record, _) in taken_back {
+        record_taken_back(context, &record.domain, record.revision);
+    }
     let now = context.now();
     let behind_ms = context.source().behind_since.map(|since| now.saturating_sub(since));
     let late_ms = context.control_lateness().late_ms(now);
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod backlog;
 mod backoff;
+mod cold;
 mod domains;
 mod entry;
 mod evacuation;
@@ -15,6 +16,7 @@
 mod selection;
 
 pub use backoff::{BackoffSettings, TargetBackoffs};
+pub use cold::ColdTargets;
 pub use entry::{TargetEntry, TargetState};
 pub use evacuation::{DomainChange, DomainListing, DomainRecord, DomainReturn};
 pub use fullness::FullnessSamples;
