--- a/crates/gateway/src/beats.rs
+++ b/crates/gateway/src/beats.rs
@@ -456,7 +456,7 @@
     let response = client.fetch(Method::POST, CHANGES_PATH, body, PEER_TIMEOUT).await?;
     let status = response.status();
     anyhow::ensure!(status.is_success(), "step=fetch_changes peer={peer}: status {status}");
-    let PeerChanges { response, notice, configuration, versions } =
+    let PeerChanges { response, notice, configuration, versions, moves } =
         decode_changes(response.body())?;
     // Recorded before the revision, from which this router may read the source next.
     record_version(context, peer, configuration.version);
@@ -471,7 +471,11 @@
         unreadable: Vec::new(),
     };
     apply_update(context, update, UpdateOrigin::Peer);
-    context.resumes().merge_versions(versions, now);
+    {
+        let mut resumes = context.resumes();
+        resumes.merge_versions(versions, now);
+        resumes.merge_moves(moves, now);
+    }
     record_left_targets(context, notice.left);
     Ok(())
 }
--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -51,6 +51,7 @@
     context.source().announced.record(version);
     let own_version = context.versions().version();
     let Some(version) = version.filter(|version| Some(*version) > own_version) else { return };
+    context.resumes().record_announced(version);
     context.holders().record(peer, version);
     context.holder_found.notify_one();
 }
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -7,7 +7,7 @@
 use mesh::{DomainMembers, Heartbeat, ReportRequest, SourceNotice};
 use quarantine::QuarantineNotice;
 use rate::{LimitNotice, PermitRequest, PermitResponse};
-use resume::{HolderAnswer, StreamKey, StreamRecord, VersionNotice};
+use resume::{HolderAnswer, MoveNotice, StreamKey, StreamRecord, VersionNotice};
 use route::RouteTable;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -291,6 +291,8 @@
     pub(crate) configuration: ConfigurationNotice,
     /// What the peer has seen of software versions.
     pub(crate) versions: VersionNotice,
+    /// What the peer knows of moved streams. Routers of earlier versions do not send it.
+    pub(crate) moves: MoveNotice,
 }
 
 /// Decodes the response of a peer to a request for changes, and what follows it.
@@ -304,5 +306,6 @@
     let software: SoftwareNotice = decode_part(&mut body).unwrap_or_default();
     software.apply(&mut response.records);
     let versions = decode_part(&mut body).unwrap_or_default();
-    Ok(PeerChanges { response, notice, configuration, versions })
+    let moves = decode_part(&mut body).unwrap_or_default();
+    Ok(PeerChanges { response, notice, configuration, versions, moves })
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -97,6 +97,7 @@
             append_part(&mut response, &configuration_notice(&context));
             append_part(&mut response, &SoftwareNotice::of(&changes.records));
             append_part(&mut response, &context.resumes().version_notice(context.now()));
+            append_part(&mut response, &context.resumes().move_notice(context.now()));
             full_response(PEER_MESSAGE_TYPE, response)
         }
         Err(cause) => not_encoded(&cause),
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -163,8 +163,8 @@
 }
 
 /// Tells holders of the open streams of services whose streams no longer all begin at the same
-/// version, as far as this router knows.
-fn tell_newly_uncertain(context: &GatewayContext) {
+/// version, or that a configuration moved, as far as this router knows.
+pub(crate) fn tell_newly_uncertain(context: &GatewayContext) {
     let now = context.now();
     let view_age = context.source().view_age(now);
     let services = context.resumes().refresh(view_age, now);
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -2,14 +2,14 @@
 //! serves them to peers.
 
 use base::Millis;
-use route::VersionVerdict;
+use route::{RouteTable, StreamMoves, VersionVerdict};
 use target::{LeftTarget, RecordChange};
 
 use crate::context::GatewayContext;
 use crate::messages::{ChangesNotice, ChangesRequest, ChangesResponse, ConfigurationNotice};
 use crate::permits::retain_targets;
 use crate::platform::SourceUpdate;
-use crate::streams::update_versions;
+use crate::streams::{tell_newly_uncertain, update_versions};
 
 /// Where an update comes from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -39,11 +39,12 @@
     if let Some(table) = update.table {
         let version = table.version;
         let capacity = table.capacity_tokens_per_s;
-        let longest_stream_ms = table.longest_stream_ms();
+        // Before requests are routed by it.
+        record_moves(context, &table, now);
         let verdict = context.versions().offer(table);
         if matches!(verdict, VersionVerdict::Accepted { .. }) {
             context.shares().set_capacity(capacity);
-            context.resumes().set_longest_stream(longest_stream_ms, now);
+            tell_newly_uncertain(context);
             tracing::info!(
                 unit = "view",
                 event = "configuration",
@@ -88,6 +89,19 @@
     context.source().advance(update.revision)
 }
 
+/// Records between which services a configuration moves streams, if it is newer than the one in
+/// force.
+fn record_moves(context: &GatewayContext, table: &RouteTable, now: Millis) {
+    let former = context.table();
+    if former.as_ref().is_some_and(|former| former.version >= table.version) {
+        return;
+    }
+    let moves = former.map(|former| StreamMoves::between(&former, table)).unwrap_or_default();
+    let mut resumes = context.resumes();
+    resumes.set_longest_stream(table.longest_stream_ms(), now);
+    resumes.record_moves(table.version, &moves, now);
+}
+
 /// Records the targets that a peer saw leave.
 pub(crate) fn record_left_targets(context: &GatewayContext, left: Vec<LeftTarget>) {
     let now = context.now();
--- a/crates/resume/src/history.rs
+++ b/crates/resume/src/history.rs
@@ -6,21 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::settings::ResumeSettings;
-
-/// A point in time like [`Millis`] that may lie before the start of this process.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct SignedMillis(i64);
-
-impl SignedMillis {
-    /// Returns the time `age` milliseconds before `now`.
-    fn before(now: Millis, age: Millis) -> Self {
-        Self(now.cast_signed().saturating_sub_unsigned(age))
-    }
-
-    fn age(self, now: Millis) -> Millis {
-        now.saturating_sub_signed(self.0)
-    }
-}
+use crate::signed::SignedMillis;
 
 #[derive(Clone, Copy, Debug)]
 struct VersionSpan {
--- a/crates/resume/src/lib.rs
+++ b/crates/resume/src/lib.rs
@@ -19,18 +19,26 @@
 //! - the absence of a record counts only at an instance that has observed the targets for as long
 //!   as a stream may be taken up.
 //!
+//! A configuration may send a route to another service while both services have one version. The
+//! services between which streams move, and those whose earlier routes a router can't know, are
+//! told and asked for as long as streams from before may be taken up, and the absence of a record
+//! proves nothing there.
+//!
 //! Does no I/O.
 
 mod history;
 mod holders;
 mod lookup;
+mod moves;
 mod policy;
 mod records;
 mod settings;
+mod signed;
 
 pub use history::{VersionHistory, VersionNotice};
 pub use holders::{HolderPeer, StreamHolder, choose_holders};
 pub use lookup::{HolderAnswer, LookupVerdict, StreamLookup};
+pub use moves::MoveNotice;
 pub use policy::{ResumeDecision, ResumePolicy};
 pub use records::{StreamKey, StreamOrigin, StreamRecord, StreamRecords};
 pub use settings::ResumeSettings;
--- a/crates/resume/src/policy.rs
+++ b/crates/resume/src/policy.rs
@@ -5,10 +5,12 @@
 use std::sync::Arc;
 
 use base::{Millis, Name};
+use route::StreamMoves;
 
 use crate::history::{VersionHistory, VersionNotice};
 use crate::holders::{HolderPeer, StreamHolder, choose_holders};
 use crate::lookup::HolderAnswer;
+use crate::moves::{MoveHistory, MoveNotice, MoveWindow};
 use crate::records::{KnownOrigin, StreamKey, StreamOrigin, StreamRecord, StreamRecords};
 use crate::settings::ResumeSettings;
 
@@ -28,6 +30,7 @@
 pub struct ResumePolicy {
     settings: ResumeSettings,
     history: VersionHistory,
+    moves: MoveHistory,
     records: StreamRecords,
     peers: Vec<HolderPeer>,
     /// Whether the peers have changed since [`Self::take_peer_change`].
@@ -46,6 +49,32 @@
         self.history.set_longest_stream(longest, &self.settings, now);
     }
 
+    /// Records that the configuration `version` is in force, and what it changes compared with the
+    /// one before. To be called after [`Self::set_longest_stream`].
+    pub fn record_moves(&mut self, version: u64, moves: &StreamMoves, now: Millis) {
+        let window = self.move_window(now);
+        self.moves.record(version, moves, window, now);
+    }
+
+    /// Records that a peer has the configuration `version`, which this router may lack.
+    pub fn record_announced(&mut self, version: u64) {
+        self.moves.record_announced(version);
+    }
+
+    /// Returns what this router knows of moved streams, for a peer that has just started.
+    pub fn move_notice(&self, now: Millis) -> MoveNotice {
+        self.moves.notice(now)
+    }
+
+    /// Takes over what a peer knows of moved streams.
+    pub fn merge_moves(&mut self, notice: MoveNotice, now: Millis) {
+        self.moves.merge(notice, now);
+    }
+
+    fn move_window(&self, now: Millis) -> MoveWindow {
+        MoveWindow::new(self.history.window(now), &self.settings)
+    }
+
     /// Sets the live peers, without this router.
     pub fn set_peers(&mut self, peers: Vec<HolderPeer>) {
         self.has_peer_change |= self.peers != peers;
@@ -88,9 +117,9 @@
     pub fn refresh(&mut self, view_age: Option<Millis>, now: Millis) -> Vec<Name> {
         self.records.expire(self.history.window(now), now);
         self.history.observe(view_age, &self.settings, now);
+        self.moves.expire(self.move_window(now), now);
         let services = self.history.services();
-        let is_told =
-            |service: &&Name| self.history.is_uncertain(service, view_age, &self.settings, now);
+        let is_told = |service: &&Name| self.must_tell(service, view_age, now);
         let told: BTreeSet<Name> = services.filter(is_told).cloned().collect();
         let newly = told.difference(&self.told_services).cloned().collect();
         self.told_services = told;
@@ -99,7 +128,9 @@
 
     /// Whether holders have to be told of a stream of a service that begins.
     pub fn must_tell(&self, service: &str, view_age: Option<Millis>, now: Millis) -> bool {
+        let window = self.move_window(now);
         self.history.is_uncertain(service, view_age, &self.settings, now)
+            || self.moves.must_tell(service, window, now)
     }
 
     /// Records what began a stream, of this router or of a peer.
@@ -134,7 +165,8 @@
             Some(KnownOrigin::Unknown) | None => {}
         }
         let sole = self.history.sole_version(service, &self.settings, now);
-        let is_certain = !self.must_tell(service, view_age, now);
+        let must_ask = self.moves.must_ask(service, self.move_window(now), now);
+        let is_certain = !must_ask && !self.must_tell(service, view_age, now);
         match sole.filter(|_| is_certain) {
             Some(version) => {
                 let (service, version) = (Name::clone(service), Name::clone(version));
@@ -162,10 +194,17 @@
             Some(KnownOrigin::Ambiguous) => return HolderAnswer::Unknown,
             Some(KnownOrigin::Unknown) | None => {}
         }
+        let window = self.move_window(now);
+        if self.moves.is_moved(service, window, now) {
+            return HolderAnswer::Unknown;
+        }
         let Some(version) = self.history.sole_version(service, &self.settings, now) else {
             return HolderAnswer::Unknown;
         };
         let version = Name::clone(version);
+        if !self.moves.is_observed(window, now) {
+            return HolderAnswer::Recent { version };
+        }
         // Streams that began while the view was old were told to their holders, who know them
         // only by their ids.
         let is_observed = self.history.is_observed(now);
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,9 +1,11 @@
 //! Routes, services and client accounts of a published configuration, and the
 //! version of it that is in force. Does no I/O.
 
+mod moves;
 mod table;
 mod version;
 
+pub use moves::StreamMoves;
 pub use table::{
     CallKind, CallerLimits, EngineSpec, HostRoutes, RouteSpec, RouteTable, RouteTableBuilder,
     ServiceSpec, WeightedService,
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -115,7 +115,7 @@
 
 /// Routes of one host, sorted by descending length of the path prefix.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-pub struct HostRoutes(Vec<RouteSpec>);
+pub struct HostRoutes(pub(crate) Vec<RouteSpec>);
 
 /// One complete configuration.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -125,7 +125,7 @@
     /// prompt token counts once and a generated token twice. 0 if not published.
     pub capacity_tokens_per_s: f64,
     pub limits: CallerLimits,
-    hosts: BTreeMap<Name, HostRoutes>,
+    pub(crate) hosts: BTreeMap<Name, HostRoutes>,
     services: BTreeMap<Name, ServiceSpec>,
     /// Client account of each credential.
     credentials: BTreeMap<Name, Name>,
