--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -14,11 +14,30 @@
     pub(crate) json: bool,
 }
 
+/// The file to check.
+#[derive(Clone, Debug)]
+pub(crate) struct CheckArgs {
+    pub(crate) file: PathBuf,
+    /// The configuration in force.
+    pub(crate) against: Option<PathBuf>,
+    /// Whether warnings count for the exit code.
+    pub(crate) strict: bool,
+    pub(crate) json: bool,
+}
+
+/// The files to compare.
+#[derive(Clone, Debug)]
+pub(crate) struct DiffArgs {
+    pub(crate) old: PathBuf,
+    pub(crate) new: PathBuf,
+    pub(crate) json: bool,
+}
+
 /// A command with its arguments.
 #[derive(Clone, Debug)]
 pub(crate) enum CtlCommand {
-    Check { file: PathBuf },
-    Diff { old: PathBuf, new: PathBuf },
+    Check(CheckArgs),
+    Diff(DiffArgs),
     Status(FleetArgs),
     Explain { fleet: FleetArgs, request: String },
     Timings(FleetArgs),
@@ -26,16 +45,25 @@
 
 /// Parses the command line; exits the process if it is invalid.
 pub(crate) fn parse_args() -> CtlCommand {
+    let against = long("against")
+        .help("configuration in force, to report the differences from it")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    let strict = long("strict").help("exit with 1 if there are warnings only").switch();
+    let json = json_switch();
     let file = positional::<PathBuf>("FILE");
-    let check = construct!(CtlCommand::Check { file })
+    let check = construct!(CheckArgs { against, strict, json, file })
+        .map(CtlCommand::Check)
         .to_options()
-        .descr("Checks a document as the routers do")
+        .descr("Checks a document or a configuration as the routers do, and for mistakes")
         .command("check");
+    let json = json_switch();
     let old = positional::<PathBuf>("OLD");
     let new = positional::<PathBuf>("NEW");
-    let diff = construct!(CtlCommand::Diff { old, new })
+    let diff = construct!(DiffArgs { json, old, new })
+        .map(CtlCommand::Diff)
         .to_options()
-        .descr("Lists the keys in which two documents differ")
+        .descr("Lists in what two documents or configurations differ")
         .command("diff");
     let status = fleet_args()
         .map(CtlCommand::Status)
@@ -74,6 +102,10 @@
         .env("POPLAR_SECRET")
         .argument::<String>("SECRET")
         .fallback(String::new());
-    let json = long("json").help("print JSON").switch();
+    let json = json_switch();
     construct!(FleetArgs { routers, secret, json })
 }
+
+fn json_switch() -> impl Parser<bool> {
+    long("json").help("print JSON").switch()
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -2,6 +2,7 @@
 //! the routers. It is read-only and never changes an instance.
 
 mod args;
+mod configuration;
 mod document;
 mod exit;
 mod fetch;
@@ -12,14 +13,17 @@
 
 use std::process::ExitCode;
 
+pub use crate::configuration::ConfigReader;
+
 use crate::args::{CtlCommand, parse_args};
 use crate::exit::CtlExit;
 
-/// Runs the command that the command line names and returns its exit code.
-pub fn run() -> ExitCode {
+/// Runs the command that the command line names and returns its exit code. `reader` reads
+/// configurations in another format than the project's own document.
+pub fn run(reader: &dyn ConfigReader) -> ExitCode {
     let outcome = match parse_args() {
-        CtlCommand::Check { file } => document::check(&file),
-        CtlCommand::Diff { old, new } => document::diff(&old, &new),
+        CtlCommand::Check(args) => document::check(reader, &args),
+        CtlCommand::Diff(args) => document::diff(reader, &args),
         CtlCommand::Status(fleet) => show::status(&fleet),
         CtlCommand::Explain { request, fleet } if fleet.routers.is_empty() => {
             show::explain_logs(&request, fleet.json)
--- a/crates/ctl/src/main.rs
+++ /dev/null
@@ -1,5 +0,0 @@
-use std::process::ExitCode;
-
-fn main() -> ExitCode {
-    ctl::run()
-}
