--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -7,7 +7,7 @@
 use mesh::{DomainMembers, Heartbeat, ReportRequest, SourceNotice};
 use quarantine::QuarantineNotice;
 use rate::{ColdRequest, ColdResponse, LimitNotice, PermitRequest, PermitResponse};
-use resume::{HolderAnswer, StreamKey, StreamRecord, VersionNotice};
+use resume::{HolderAnswer, MoveNotice, StreamKey, StreamRecord, VersionNotice};
 use route::{ColdSpec, RouteTable};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -336,6 +336,8 @@
     /// Evacuated failure domains; `None` from routers of earlier versions.
     pub(crate) domains: Option<DomainListing>,
     pub(crate) cold: ColdNotice,
+    /// What the peer knows of moved streams. Routers of earlier versions do not send it.
+    pub(crate) moves: MoveNotice,
 }
 
 /// Decodes the response of a peer to a request for changes, and what follows it.
@@ -356,5 +358,6 @@
     {
         table.set_cold_specs(cold.services.clone());
     }
-    Ok(PeerChanges { response, notice, configuration, versions, domains, cold })
+    let moves = decode_part(&mut body).unwrap_or_default();
+    Ok(PeerChanges { response, notice, configuration, versions, domains, cold, moves })
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -102,6 +102,7 @@
             // Read after the revision of the response, as above.
             append_part(&mut response, &domain_listing(&context));
             append_part(&mut response, &ColdNotice::of(context.table().as_deref()));
+            append_part(&mut response, &context.resumes().move_notice(context.now()));
             full_response(PEER_MESSAGE_TYPE, response)
         }
         Err(cause) => not_encoded(&cause),
