tests: callers that read slowly, for poplar-router and poplar-gateway

Cause: nothing tested what a process holds, with the queues of its sockets, for callers that do not read. Change: bench::SlowCrowd connects such callers, and bench::UseSampler reads resident memory, /proc/PID/net/tcp queues of the process's own sockets, and descriptors.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -14,6 +14,7 @@
 mod random;
 mod scenario;
 mod slopes;
+mod slow_crowd;
 mod tracker;
 
 pub use caller::{CallEnd, HttpCaller, StreamResult, credential};
@@ -25,3 +26,4 @@
 pub use ports::{PORT_RANGE, free_address};
 pub use scenario::scenario_names;
 pub use slopes::run_slopes;
+pub use slow_crowd::{ConnectedCrowd, ProcessUse, ReadPace, SlowCrowd, UseSampler};
--- a/crates/bench/tests/processes/main.rs
+++ b/crates/bench/tests/processes/main.rs
@@ -8,4 +8,5 @@
 mod fixture;
 mod lifecycle;
 mod old_callers;
+mod slow_readers;
 mod truncation;
--- a/crates/bench/tests/processes/truncation.rs
+++ b/crates/bench/tests/processes/truncation.rs
@@ -64,7 +64,7 @@
     stream.shutdown(Shutdown::Write)
 }
 
-fn read_request(stream: &mut TcpStream) -> std::io::Result<(String, Vec<u8>)> {
+pub(crate) fn read_request(stream: &mut TcpStream) -> std::io::Result<(String, Vec<u8>)> {
     let mut request = Vec::new();
     let mut buffer = [0; 4_096];
     loop {
@@ -86,7 +86,7 @@
 
 /// Returns the head without its empty line, and the bytes after it. The head is empty if
 /// it is incomplete.
-fn split_head(bytes: &[u8]) -> (String, Vec<u8>) {
+pub(crate) fn split_head(bytes: &[u8]) -> (String, Vec<u8>) {
     let Some(end) = bytes.windows(4).position(|four| four == b"\r\n\r\n") else {
         return (String::new(), Vec::new());
     };
@@ -94,7 +94,7 @@
 }
 
 /// Returns the head without the headers `names`.
-fn without_framing(head: &str, names: &[&str]) -> String {
+pub(crate) fn without_framing(head: &str, names: &[&str]) -> String {
     let lines = head.lines().filter(|line| {
         let name = line.split(':').next().unwrap_or_default().to_lowercase();
         !names.contains(&name.as_str())
