poplar-router: bounded relays, a budget of memory and limits of acceptance

Cause: a stream was relayed through an unbounded channel, plain responses were buffered without a budget, connections were accepted without a limit, and the system's socket buffers grew to 4 MB and more for each caller that does not read. Change: crates/inbound holds the accept loop and the idle connections of the gateway, for both programs; admit::ResourceSettings likewise. Streams are read only as fast as their callers take them; bodies and responses count against MemoryBudget; new requests get 503 memory_full or account_memory, a response that cannot be held 502 response_not_held; unread_s terminates connections whose callers take nothing. Socket buffers follow from the budget. A response of an account over its part is no longer held above full_at, so that something is left for accounts that hold nothing.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -4,6 +4,7 @@
 mod accept;
 mod lateness;
 mod memory;
+mod resources;
 mod retries;
 mod shares;
 mod stop;
@@ -12,6 +13,7 @@
 pub use accept::{AcceptPolicy, AcceptSettings};
 pub use lateness::{LatenessSettings, ThreadLateness};
 pub use memory::{HoldKey, MemoryBudget, MemoryRefusal, MemorySettings};
+pub use resources::ResourceSettings;
 pub use retries::{RetryBudget, RetrySettings};
 pub use shares::{AccountDemand, AccountShares, ShareSettings, ShareVerdict, water_level};
 pub use stop::{StopPlan, StopSettings};
--- a/crates/admit/src/memory.rs
+++ b/crates/admit/src/memory.rs
@@ -112,13 +112,19 @@
     }
 
     /// Holds `bytes` of the response to a request. The request has run, so its account
-    /// may exceed its part.
+    /// may exceed its part until the budget is full. Responses that are not taken would
+    /// otherwise leave nothing for accounts that hold nothing.
     ///
     /// # Errors
-    /// Returns an error if the budget is used up; the bytes held before remain held.
+    /// Returns an error if the budget is used up, or if it is full and the account's part of it
+    /// is used up; the bytes held before remain held.
     pub fn hold_response(&mut self, key: HoldKey, bytes: usize) -> Result<(), MemoryRefusal> {
         let Some(hold) = self.holds.get(key) else { return Err(MemoryRefusal::Full) };
         let account = hold.account.clone();
+        let used = self.used.saturating_add(bytes);
+        if used as f64 > self.settings.limit_bytes as f64 * self.settings.full_at {
+            self.check_part(&account, bytes)?;
+        }
         self.grow_hold(key, &account, bytes)
     }
 
--- a/crates/bench/src/launch.rs
+++ b/crates/bench/src/launch.rs
@@ -447,6 +447,7 @@
         "secret": SECRET,
         "log": plan.log,
         "share": plan.share,
+        "resources": plan.resources,
         "test_controls": true,
     });
     let settings_file = folder.join(format!("{name}.jsonc"));
--- a/crates/bench/src/plan.rs
+++ b/crates/bench/src/plan.rs
@@ -100,6 +100,8 @@
     pub listed_targets: usize,
     /// Whether engines accept orders with an outdated fencing token too.
     pub ignore_fence: bool,
+    /// Limits of each router's resources, as in its settings file.
+    pub resources: Value,
 }
 
 impl FleetPlan {
@@ -115,6 +117,7 @@
             replicas: None,
             listed_targets: 0,
             ignore_fence: false,
+            resources: Value::Object(serde_json::Map::new()),
         }
     }
 
--- a/crates/bench/tests/processes/slow_readers.rs
+++ b/crates/bench/tests/processes/slow_readers.rs
@@ -94,7 +94,11 @@
 }
 
 fn plan() -> FleetPlan {
-    FleetPlan { replicas: Some((6, 3)), ..FleetPlan::new(ExampleSite::Alliance, 1) }
+    FleetPlan {
+        replicas: Some((6, 3)),
+        resources: json!({ "descriptors": DESCRIPTORS, "memory_mb": MEMORY_LIMIT_KB >> 10 }),
+        ..FleetPlan::new(ExampleSite::Alliance, 1)
+    }
 }
 
 fn plain_request(account: &str, path: &str, version: &str) -> Vec<u8> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,7 +12,6 @@
 mod body;
 mod call;
 mod configuration;
-mod connections;
 mod context;
 mod crashes;
 mod domains;
@@ -43,11 +42,10 @@
 mod view;
 mod worker;
 
+pub use admit::ResourceSettings;
 pub use platform::{
     AddressQuery, CallFormat, CallMetadata, ForwardedMetadata, NamedLimit, ResponseMetadata,
     RetryDelay, SourceError, SourceUpdate, StateSource,
 };
 pub use run::run;
-pub use settings::{
-    AdmissionSettings, BoundSettings, GatewaySettings, ListenSettings, ResourceSettings,
-};
+pub use settings::{AdmissionSettings, BoundSettings, GatewaySettings, ListenSettings};
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -8,13 +8,13 @@
 use base::Name;
 use http::StatusCode;
 use http::response::Parts;
+use inbound::BusyConnection;
 use ntex::http::{ConnectionType, Request, Response};
 use sse::OrderedEvents;
 use tokio::time::Instant;
 
 use crate::body::BodyReader;
 use crate::call::{AdmittedCall, ReceivedCall};
-use crate::connections::BusyConnection;
 use crate::crashes::{check_parts, check_request};
 use crate::headers::end_to_end_headers;
 use crate::parts::PartList;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,6 +12,7 @@
 use http::Response;
 use http::response::Parts;
 use hyper::body::Incoming;
+use inbound::BusyConnection;
 use ntex::http::body::{BodySize, MessageBody};
 use ntex::io::IoRef;
 use ntex::util::Bytes;
@@ -21,7 +22,6 @@
 use tokio::time::Instant;
 
 use crate::call::{AdmittedCall, HeldBody};
-use crate::connections::BusyConnection;
 use crate::headers::is_event_stream;
 use crate::reader::{ReadFailure, ResponseReader, RunFailure};
 use crate::report::{CallEnd, CallReport};
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use admit::ResourceSettings;
 use base::Name;
 use serde::{Deserialize, Serialize};
 use target::{SelectionSettings, TargetSelection};
@@ -79,55 +80,6 @@
     }
 }
 
-/// Resources of the process that it is ended or refused for exceeding.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct ResourceSettings {
-    /// Largest number of open descriptors.
-    pub descriptors: usize,
-    /// Largest resident memory, in MiB.
-    pub memory_mb: usize,
-}
-
-impl Default for ResourceSettings {
-    fn default() -> Self {
-        Self { descriptors: 4_096, memory_mb: 512 }
-    }
-}
-
-/// Descriptors kept for files, listeners, peers, the configuration source, readiness
-/// checks, address queries and metrics.
-const RESERVED_DESCRIPTORS: usize = 300;
-/// Memory of a process without callers, in bytes: its code, the configuration, and
-/// what is known of targets, accounts and peers.
-const BASE_MEMORY_BYTES: usize = 20 << 20;
-/// Memory of a connection with a request in progress beside the bytes of its body and
-/// its response: buffers of both its ends, and bytes that the system has received and
-/// that are not read yet.
-const CONNECTION_BYTES: usize = 24 << 10;
-/// The memory beyond the base is divided by this for connections; the rest is for bodies
-/// and responses.
-const CONNECTION_MEMORY_DIVISOR: usize = 2;
-
-impl ResourceSettings {
-    /// Returns how many connections of callers may be open at once. Each may need a
-    /// second descriptor for its connection to a target.
-    pub fn max_caller_connections(&self) -> usize {
-        let by_descriptors = self.descriptors.saturating_sub(RESERVED_DESCRIPTORS) / 2;
-        let by_memory = self.usable_memory() / CONNECTION_MEMORY_DIVISOR / CONNECTION_BYTES;
-        by_descriptors.min(by_memory).max(1)
-    }
-
-    /// Returns the memory that callers' bodies and responses may take, in bytes.
-    pub fn held_bytes(&self) -> usize {
-        self.usable_memory() - self.usable_memory() / CONNECTION_MEMORY_DIVISOR
-    }
-
-    fn usable_memory(&self) -> usize {
-        (self.memory_mb << 20).saturating_sub(BASE_MEMORY_BYTES)
-    }
-}
-
 /// How capacity is shared among client accounts.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -192,26 +144,11 @@
                 "step=check_settings: {key} is {value}, must not be negative"
             );
         }
-        self.check_resources()?;
+        self.resources.check()?;
         self.check_admission()?;
         self.check_choice()
     }
 
-    fn check_resources(&self) -> anyhow::Result<()> {
-        let ResourceSettings { descriptors, memory_mb } = self.resources;
-        anyhow::ensure!(
-            descriptors > RESERVED_DESCRIPTORS,
-            "step=check_settings: resources.descriptors is {descriptors}, must be over \
-             {RESERVED_DESCRIPTORS}"
-        );
-        let base_mb = BASE_MEMORY_BYTES >> 20;
-        anyhow::ensure!(
-            memory_mb > base_mb,
-            "step=check_settings: resources.memory_mb is {memory_mb}, must be over {base_mb}"
-        );
-        Ok(())
-    }
-
     fn check_admission(&self) -> anyhow::Result<()> {
         let admission = &self.admission;
         for (key, value) in [
--- a/crates/gateway/src/worker.rs
+++ b/crates/gateway/src/worker.rs
@@ -8,13 +8,13 @@
 
 use base::{Millis, Name};
 use cadence::prelude::*;
+use inbound::{BusyConnection, CallerConnections};
 use ntex::io::IoRef;
 use outbound::{
-    Connection, ConnectionPool, ExchangeError, PoolSettings, connect, max_idle_connections,
+    Connection, ConnectionPool, ExchangeError, PoolSettings, connect_buffered, max_idle_connections,
 };
 use target::TargetEntry;
 
-use crate::connections::{BusyConnection, CallerConnections};
 use crate::context::GatewayContext;
 
 /// Time to open a connection to a target: allows for a round trip between failure
@@ -78,7 +78,8 @@
                 return Ok(idle);
             }
         }
-        connect(entry.address, CONNECT_TIMEOUT).await
+        let receive_buffer = self.context.settings.resources.socket_buffer_bytes();
+        connect_buffered(entry.address, CONNECT_TIMEOUT, receive_buffer).await
     }
 
     /// Whether this thread was late at some time since `since`, so that a time-out says
--- a/crates/gateway/src/connections.rs
+++ b/crates/inbound/src/connections.rs
@@ -31,13 +31,14 @@
 
 /// Connections without a request in progress, and the deadlines of streams.
 #[derive(Debug, Default)]
-pub(crate) struct CallerConnections {
+pub struct CallerConnections {
     idle: RefCell<HashMap<IoRef, IdleState>>,
     deadlines: RefCell<HashMap<IoRef, Instant>>,
 }
 
 /// A connection with a request in progress. It is idle again once this is dropped.
-pub(crate) struct BusyConnection {
+#[derive(Debug)]
+pub struct BusyConnection {
     connections: Rc<CallerConnections>,
     io: IoRef,
     clock: MonoClock,
@@ -45,18 +46,18 @@
 
 impl CallerConnections {
     /// Records a connection as idle since `now`.
-    pub(crate) fn insert(&self, io: IoRef, now: Millis) {
+    pub fn insert(&self, io: IoRef, now: Millis) {
         self.idle.borrow_mut().insert(io, IdleState::Since(now));
     }
 
     /// Forgets a connection that has ended.
-    pub(crate) fn remove(&self, io: &IoRef) {
+    pub fn remove(&self, io: &IoRef) {
         self.idle.borrow_mut().remove(io);
     }
 
     /// Closes the connections that have been idle longest if `open` connections are
     /// close to `max`, while the thread is late by `late_ms`. Returns how many.
-    pub(crate) fn close_longest_idle(
+    pub fn close_longest_idle(
         &self,
         open: usize,
         max: usize,
@@ -95,7 +96,7 @@
 
     /// Terminates the connections whose callers have not taken their stream by its
     /// deadline. Returns how many.
-    pub(crate) fn terminate_overdue(&self, now: Instant) -> usize {
+    pub fn terminate_overdue(&self, now: Instant) -> usize {
         let mut deadlines = self.deadlines.borrow_mut();
         let overdue: Vec<IoRef> = deadlines
             .iter()
@@ -112,7 +113,7 @@
 
 impl BusyConnection {
     /// Begins a request; `None` if this router has closed the connection.
-    pub(crate) fn begin(
+    pub fn begin(
         connections: &Rc<CallerConnections>,
         io: &IoRef,
         clock: &MonoClock,
@@ -125,14 +126,19 @@
         Some(Self { connections: Rc::clone(connections), io: io.clone(), clock: clock.clone() })
     }
 
-    pub(crate) fn io(&self) -> &IoRef {
+    pub fn io(&self) -> &IoRef {
         &self.io
     }
 
-    /// Bounds the time that the caller has to take a stream.
-    pub(crate) fn set_deadline(&self, deadline: Instant) {
+    /// Bounds the time that the caller has to take what is sent to it.
+    pub fn set_deadline(&self, deadline: Instant) {
         self.connections.deadlines.borrow_mut().insert(self.io.clone(), deadline);
     }
+
+    /// Removes the bound, as the caller has taken what was sent to it.
+    pub fn clear_deadline(&self) {
+        self.connections.deadlines.borrow_mut().remove(&self.io);
+    }
 }
 
 impl Drop for BusyConnection {
--- /dev/null
+++ b/crates/inbound/src/lib.rs
@@ -0,0 +1,9 @@
+//! Callers' connections, for `poplar-router` and `poplar-gateway`: they are accepted while the
+//! limits of [`admit`](../admit/index.html) allow it, the longest idle ones are closed before
+//! there are too many, and those whose callers take nothing are terminated.
+
+mod accept;
+mod connections;
+
+pub use accept::{AcceptedConnection, ConnectionGate, MAX_HANDED_OVER, accept, listen, serve};
+pub use connections::{BusyConnection, CallerConnections};
--- a/crates/outbound/src/connection.rs
+++ b/crates/outbound/src/connection.rs
@@ -73,6 +73,27 @@
 /// Returns an error for which [`ExchangeError::is_unsent`] holds if the connection is
 /// refused, is not established within `timeout`, or can't be opened for a local lack.
 pub async fn connect(peer: SocketAddr, timeout: Duration) -> Result<Connection, ExchangeError> {
+    connect_with(peer, timeout, None).await
+}
+
+/// Like [`connect`]. The system buffers about `receive_buffer` bytes, doubled by Linux, that the
+/// peer has sent and that are not read: a response that its caller does not take is not read.
+///
+/// # Errors
+/// Returns the same errors as [`connect`].
+pub async fn connect_buffered(
+    peer: SocketAddr,
+    timeout: Duration,
+    receive_buffer: usize,
+) -> Result<Connection, ExchangeError> {
+    connect_with(peer, timeout, Some(receive_buffer)).await
+}
+
+async fn connect_with(
+    peer: SocketAddr,
+    timeout: Duration,
+    receive_buffer: Option<usize>,
+) -> Result<Connection, ExchangeError> {
     let not_sent = |cause: String| ExchangeError::NotSent { step: "connect", peer, cause };
     let connecting = tokio::time::timeout(timeout, TcpStream::connect(peer));
     let stream = match connecting.await {
@@ -84,7 +105,7 @@
         Ok(Err(cause)) => return Err(not_sent(cause.to_string())),
         Err(_) => return Err(ExchangeError::TimedOut { peer, waited_ms: timeout.as_millis() }),
     };
-    if let Err(cause) = set_options(&stream) {
+    if let Err(cause) = set_options(&stream, receive_buffer) {
         tracing::debug!(unit = "outbound", event = "socket_option_refused", %peer, %cause);
     }
     let mut builder = http1::Builder::new();
@@ -101,9 +122,12 @@
     Ok(Connection { peer, sender })
 }
 
-fn set_options(stream: &TcpStream) -> std::io::Result<()> {
+fn set_options(stream: &TcpStream, receive_buffer: Option<usize>) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
+    if let Some(bytes) = receive_buffer {
+        socket.set_recv_buffer_size(bytes)?;
+    }
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
--- a/crates/outbound/src/lib.rs
+++ b/crates/outbound/src/lib.rs
@@ -12,7 +12,7 @@
 mod pool;
 mod probe;
 
-pub use connection::{Connection, ExchangeError, connect};
+pub use connection::{Connection, ExchangeError, connect, connect_buffered};
 pub use exhaustion::is_local_exhaustion;
 pub use fetch::{FetchClient, FetchError, FetchTimeouts, PART_BYTES};
 pub use framing::BodyFraming;
--- a/crates/router/src/caller.rs
+++ b/crates/router/src/caller.rs
@@ -2,14 +2,17 @@
 //! service, and handles the request as a stream, a plain call or a call under
 //! an idempotency key.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use base::Name;
 use cadence::prelude::*;
 use doc::ServiceKind;
+use hyper::body::Bytes;
+use inbound::{BusyConnection, CallerConnections};
+use ntex::http::body::Body;
 use ntex::http::{StatusCode, Version};
-use ntex::util::{Bytes, BytesMut};
 use ntex::web::types::{Payload, State};
 use ntex::web::{HttpRequest, HttpResponse};
 use serde_json::Value;
@@ -17,10 +20,12 @@
 
 use crate::client::PeerClient;
 use crate::context::RouterContext;
+use crate::held::HeldBytes;
 use crate::lifecycle::{Received, Request};
 use crate::plain::{PlainCall, PlainResponse, run_plain};
 use crate::refusal::{Ran, Refusal, RefusalCode};
 use crate::stream::start_stream;
+use crate::taken_body::{BodySource, TakenBody};
 use once::{KeyDecision, KeyOutcome};
 
 /// Maximum size of a request body, in bytes.
@@ -28,9 +33,14 @@
 /// Time within which a caller must send the whole request body, in
 /// milliseconds.
 const BODY_TIMEOUT_MS: u64 = 10_000;
+/// Time for reading the rest of a body that is discarded.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum wait for the outcome of a call that is already running under the
 /// same key, here or at another router, in milliseconds.
 const JOIN_TIMEOUT_MS: u64 = 60_000;
+/// Memory that a request takes beside its body, in bytes: its head, and the part of its response
+/// that is being passed on.
+const REQUEST_HELD_BYTES: usize = 16 << 10;
 /// Path prefix of calls to services.
 const CALL_PREFIX: &str = "/v1/call/";
 
@@ -76,11 +86,17 @@
 pub(crate) async fn call(
     context: State<Arc<RouterContext>>,
     peers: State<PeerClient>,
+    connections: State<Rc<CallerConnections>>,
     request: HttpRequest,
     payload: Payload,
 ) -> HttpResponse {
     let id = context.next_request_id();
-    let result = handle_call(&context, &peers, &request, payload, &id).await;
+    let busy = request.io().map(|io| BusyConnection::begin(&connections, io, &context.clock));
+    let result = match busy {
+        // The router has closed the connection, so that no response reaches the caller.
+        Some(None) => Err(Refusal::not_run(RefusalCode::Draining, &id)),
+        busy => handle_call(&context, &peers, &request, payload, busy.flatten(), &id).await,
+    };
     let mut response = result.unwrap_or_else(|refusal| {
         let (code, ran) = (refusal.code, refusal.ran);
         tracing::info!(unit = "caller", event = "refused", request = id, ?code, ?ran);
@@ -100,12 +116,34 @@
     peers: &PeerClient,
     http: &HttpRequest,
     payload: Payload,
+    connection: Option<BusyConnection>,
     id: &str,
 ) -> Result<HttpResponse, Refusal> {
     // The body is read before anything can be refused: closing a connection
     // with unread bytes resets it, and the refusal could be lost.
-    let body = read_body(payload, id).await?;
-    let account = authenticate(context, http, id)?;
+    let mut reader = BodyReader { payload, read_bytes: 0 };
+    let account = match authenticate(context, http, id) {
+        Ok(account) => account,
+        Err(refusal) => {
+            reader.discard().await;
+            return Err(refusal);
+        }
+    };
+    let held = match HeldBytes::new(context, &account, REQUEST_HELD_BYTES) {
+        Ok(held) => Arc::new(held),
+        Err(code) => {
+            reader.discard().await;
+            return Err(Refusal::not_run(code, id));
+        }
+    };
+    let body = match reader.read(&held, &account).await {
+        Ok(body) => body,
+        Err(code) => {
+            reader.discard().await;
+            return Err(Refusal::not_run(code, id));
+        }
+    };
+    let part_timeout = Duration::from_secs(context.settings.unread_s);
     let not_found = || Refusal::not_run(RefusalCode::UnknownService, id);
     let rest = http.path().strip_prefix(CALL_PREFIX).ok_or_else(not_found)?;
     let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
@@ -125,13 +163,19 @@
         if path != "/generate" {
             return Err(request.refuse(RefusalCode::UnknownPath));
         }
-        return handle_stream(context, request, &body, http.version(), guard).await;
+        let parsed = serde_json::from_slice::<Value>(&body).ok().filter(Value::is_object);
+        let body = parsed.ok_or_else(|| request.refuse(RefusalCode::BadRequest))?;
+        let chunks = start_stream(context, request, body, Arc::clone(&held), guard).await?;
+        let source = BodySource::stream(chunks);
+        let body = TakenBody::new(source, Some(held), connection, part_timeout);
+        return Ok(stream_response(body, http.version()));
     }
     let call = PlainCall {
         method: http.method().clone(),
         path: with_query(&path, http.query_string()),
         content_type: header_text(http, "content-type"),
         body,
+        held,
         at_most_once,
     };
     let key = header_text(http, "idempotency-key").filter(|_| at_most_once);
@@ -145,30 +189,20 @@
         }
         None => run_plain(context, request, &call).await?,
     };
-    Ok(to_http_response(response))
+    let (status, content_type) = (response.status, response.content_type);
+    let source = BodySource::Buffered(response.body);
+    let body = TakenBody::new(source, response.held, connection, part_timeout);
+    Ok(plain_response(status, content_type, body))
 }
 
-async fn handle_stream(
-    context: &Arc<RouterContext>,
-    request: Request<Received>,
-    body: &Bytes,
-    version: Version,
-    guard: OpenRequest,
-) -> Result<HttpResponse, Refusal> {
-    let parsed = serde_json::from_slice::<Value>(body).ok().filter(Value::is_object);
-    let body = parsed.ok_or_else(|| request.refuse(RefusalCode::BadRequest))?;
-    let chunks = start_stream(context, request, body, guard).await?;
-    let chunks = futures_util::stream::unfold(chunks, |mut chunks| async move {
-        let chunk = chunks.recv().await?;
-        Some((Ok::<Bytes, std::io::Error>(chunk), chunks))
-    });
+fn stream_response(body: TakenBody, version: Version) -> HttpResponse {
     let mut builder = HttpResponse::Ok();
     builder.content_type("text/event-stream").header("cache-control", "no-store");
     if version < Version::HTTP_11 {
         // Such a caller does not know chunks. The last event tells whether the stream is whole.
         builder.no_chunking().force_close();
     }
-    Ok(builder.streaming(Box::pin(chunks)))
+    builder.body(Body::from_message(body))
 }
 
 /// Handles a call with an idempotency key, which must run at most once.
@@ -235,6 +269,7 @@
             status,
             content_type: Some("application/json".into()),
             body: Bytes::from(body),
+            held: None,
         }),
         KeyOutcome::Unknown => Err(Refusal::outcome_unknown(RefusalCode::OutcomeUnknown, &id)),
         KeyOutcome::NotRun => Err(Refusal::not_run(RefusalCode::WaitExceeded, &id)),
@@ -279,13 +314,13 @@
     base::stable_hash(&[service, call.method.as_str(), &call.path, &body])
 }
 
-fn to_http_response(response: PlainResponse) -> HttpResponse {
-    let status = StatusCode::from_u16(response.status).unwrap_or(StatusCode::BAD_GATEWAY);
+fn plain_response(status: u16, content_type: Option<String>, body: TakenBody) -> HttpResponse {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut builder = HttpResponse::build(status);
-    if let Some(content_type) = response.content_type {
+    if let Some(content_type) = content_type {
         builder.content_type(content_type.as_str());
     }
-    builder.body(response.body)
+    builder.body(Body::from_message(body))
 }
 
 fn with_query(path: &str, query: &str) -> String {
@@ -296,18 +331,45 @@
     Some(http.headers().get(name)?.to_str().ok()?.to_owned())
 }
 
-async fn read_body(mut payload: Payload, id: &str) -> Result<Bytes, Refusal> {
-    let reading = async {
-        let mut body = BytesMut::new();
-        while let Some(chunk) = payload.recv().await {
-            let chunk = chunk.map_err(|_| RefusalCode::BadRequest)?;
-            if body.len() + chunk.len() > MAX_BODY_BYTES {
-                return Err(RefusalCode::BodyTooLarge);
+/// Reads the body of a request.
+struct BodyReader {
+    payload: Payload,
+    /// Bytes that were read, whether or not they were kept.
+    read_bytes: usize,
+}
+
+impl BodyReader {
+    /// Reads the whole body, which counts against the memory of the process.
+    async fn read(&mut self, held: &HeldBytes, account: &Name) -> Result<Bytes, RefusalCode> {
+        let reading = async {
+            let mut body = Vec::new();
+            while let Some(chunk) = self.payload.recv().await {
+                let chunk = chunk.map_err(|_| RefusalCode::BadRequest)?;
+                self.read_bytes += chunk.len();
+                if self.read_bytes > MAX_BODY_BYTES {
+                    return Err(RefusalCode::BodyTooLarge);
+                }
+                held.grow(account, chunk.len())?;
+                body.extend_from_slice(&chunk);
             }
-            body.extend_from_slice(&chunk);
-        }
-        Ok(body.freeze())
-    };
-    let read = tokio::time::timeout(Duration::from_millis(BODY_TIMEOUT_MS), reading).await;
-    read.unwrap_or(Err(RefusalCode::BodyTooSlow)).map_err(|code| Refusal::not_run(code, id))
+            Ok(body.into())
+        };
+        let read = tokio::time::timeout(Duration::from_millis(BODY_TIMEOUT_MS), reading).await;
+        read.unwrap_or(Err(RefusalCode::BodyTooSlow))
+    }
+
+    /// Reads the rest of a body that is within its limit, without keeping it. One that takes
+    /// longer is left unread.
+    async fn discard(&mut self) {
+        let reading = async {
+            while let Some(Ok(chunk)) = self.payload.recv().await {
+                self.read_bytes += chunk.len();
+                if self.read_bytes > MAX_BODY_BYTES {
+                    return;
+                }
+            }
+        };
+        // The refusal is sent in either case.
+        let _ = tokio::time::timeout(DISCARD_TIMEOUT, reading).await;
+    }
 }
--- a/crates/router/src/context.rs
+++ b/crates/router/src/context.rs
@@ -1,9 +1,10 @@
 //! The context that all parts of the router share: settings, clock and state.
 
 use std::collections::BTreeSet;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use admit::{AcceptPolicy, AcceptSettings, MemoryBudget, MemorySettings, ThreadLateness};
 use base::{Millis, MonoClock, Name, Origin};
 use cadence::StatsdClient;
 use share::ReportUrgency;
@@ -28,6 +29,12 @@
     /// Cancelled when the process shuts down.
     pub(crate) stop: CancellationToken,
     core: Mutex<RouterCore>,
+    memory: Mutex<MemoryBudget>,
+    accept_policy: Mutex<AcceptPolicy>,
+    /// Lateness of the thread that serves callers.
+    lateness: Mutex<ThreadLateness>,
+    /// Connections of callers that are accepted and not closed.
+    open_connections: AtomicUsize,
     next_request: AtomicU64,
     /// Bytes of control messages sent and received.
     pub(crate) control_bytes: AtomicU64,
@@ -40,7 +47,19 @@
     pub(crate) fn new(settings: RouterSettings, metrics: StatsdClient) -> Arc<Self> {
         let origin = Origin::generate(Name::clone(&settings.instance));
         let core = Mutex::new(RouterCore::new(origin.clone(), settings.share));
+        let accept_settings = AcceptSettings {
+            max_connections: settings.resources.max_caller_connections(),
+            ..AcceptSettings::default()
+        };
+        let memory_settings = MemorySettings {
+            limit_bytes: settings.resources.held_bytes(),
+            ..MemorySettings::default()
+        };
         Arc::new(Self {
+            memory: Mutex::new(MemoryBudget::new(memory_settings)),
+            accept_policy: Mutex::new(AcceptPolicy::new(accept_settings)),
+            lateness: Mutex::default(),
+            open_connections: AtomicUsize::new(0),
             settings,
             clock: MonoClock::start(),
             origin,
@@ -61,6 +80,22 @@
         self.core.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn memory(&self) -> MutexGuard<'_, MemoryBudget> {
+        self.memory.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn accept_policy(&self) -> MutexGuard<'_, AcceptPolicy> {
+        self.accept_policy.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn lateness(&self) -> MutexGuard<'_, ThreadLateness> {
+        self.lateness.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn open_connections(&self) -> usize {
+        self.open_connections.load(Ordering::Relaxed)
+    }
+
     pub(crate) fn now(&self) -> Millis {
         self.clock.now()
     }
@@ -109,3 +144,20 @@
         self.control_messages.fetch_add(1, Ordering::Relaxed);
     }
 }
+
+/// Counts a caller's connection as open until the guard is dropped.
+#[derive(Debug)]
+pub(crate) struct OpenConnection(Arc<RouterContext>);
+
+impl OpenConnection {
+    pub(crate) fn new(context: &Arc<RouterContext>) -> Self {
+        context.open_connections.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(context))
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.open_connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -3,6 +3,7 @@
 //! each request to a target itself. The gateway, in the crate `gateway`, is a
 //! separate program.
 
+mod accept;
 mod address;
 mod caller;
 mod client;
@@ -11,6 +12,7 @@
 mod decision;
 mod granting;
 mod heartbeat;
+mod held;
 mod lifecycle;
 mod list;
 mod load;
@@ -25,6 +27,7 @@
 mod sse;
 mod status;
 mod stream;
+mod taken_body;
 mod target_client;
 mod threads;
 mod watch;
--- a/crates/router/src/plain.rs
+++ b/crates/router/src/plain.rs
@@ -5,15 +5,16 @@
 use std::time::{Duration, Instant};
 
 use base::Name;
+use hyper::body::Bytes;
 use ntex::http::Method;
-use ntex::util::Bytes;
 use outbound::{BodyFraming, ExchangeError, probe_listener};
 
 use crate::context::RouterContext;
+use crate::held::HeldBytes;
 use crate::lifecycle::{Queued, Received, Request};
 use crate::permit::{SlotPermit, acquire_slot};
 use crate::refusal::{Refusal, RefusalCode};
-use crate::target_client::{TargetRequest, send_to_target};
+use crate::target_client::{TargetRequest, TargetResponse, send_to_target};
 
 /// Maximum number of attempts for one request, including the first.
 pub(crate) const MAX_ATTEMPTS: u32 = 3;
@@ -33,6 +34,8 @@
     pub(crate) path: String,
     pub(crate) content_type: Option<String>,
     pub(crate) body: Bytes,
+    /// What the body and the response take of the memory.
+    pub(crate) held: Arc<HeldBytes>,
     /// Whether the call must run at most once.
     pub(crate) at_most_once: bool,
 }
@@ -43,6 +46,8 @@
     pub(crate) status: u16,
     pub(crate) content_type: Option<String>,
     pub(crate) body: Bytes,
+    /// What the body takes of the memory; none for one that is kept anyway.
+    pub(crate) held: Option<Arc<HeldBytes>>,
 }
 
 enum SendError {
@@ -50,6 +55,9 @@
     NotSent(String),
     /// The target may have run the call.
     MaybeSent(String),
+    /// The target has answered, and the response does not fit into this router's memory, which
+    /// says nothing about the target.
+    NotHeld(RefusalCode),
 }
 
 impl From<ExchangeError> for SendError {
@@ -75,11 +83,16 @@
         permit.mark_dispatched();
         let dispatched = queued.dispatch();
         let start = Instant::now();
-        match send(context, &permit.target, address, call).await {
+        let account = &dispatched.account;
+        match send(context, account, &permit.target, address, call).await {
             Ok(response) => {
                 permit.settle(cost_of(start));
                 return Ok(response);
             }
+            Err(SendError::NotHeld(code)) => {
+                permit.settle(cost_of(start));
+                return Err(dispatched.refuse_outcome_unknown(code));
+            }
             Err(SendError::NotSent(cause)) => {
                 log_failed_attempt(&dispatched.id, &permit.target, "connect", attempt, &cause);
                 permit.fail();
@@ -174,8 +187,31 @@
         && context.core().target_entry(target).is_some()
 }
 
+/// Reads the body of a response, which counts against the memory of the process.
+async fn read_body(
+    response: &mut TargetResponse,
+    account: &Name,
+    call: &PlainCall,
+) -> Result<Vec<u8>, SendError> {
+    let expected = response.remaining_bytes().unwrap_or_default() as usize;
+    if expected > MAX_RESPONSE_BYTES {
+        return Err(SendError::MaybeSent(format!("answer has over {MAX_RESPONSE_BYTES} bytes")));
+    }
+    let mut body = Vec::with_capacity(expected);
+    while let Some(bytes) = response.next_bytes().await.map_err(SendError::MaybeSent)? {
+        if body.len() + bytes.len() > MAX_RESPONSE_BYTES {
+            let cause = format!("answer has over {MAX_RESPONSE_BYTES} bytes");
+            return Err(SendError::MaybeSent(cause));
+        }
+        call.held.hold_response(account, bytes.len()).map_err(SendError::NotHeld)?;
+        body.extend_from_slice(&bytes);
+    }
+    Ok(body)
+}
+
 async fn send(
     context: &RouterContext,
+    account: &Name,
     target: &Name,
     address: SocketAddr,
     call: &PlainCall,
@@ -185,10 +221,11 @@
             method: call.method.clone(),
             path: &call.path,
             content_type: call.content_type.as_deref(),
-            body: hyper::body::Bytes::copy_from_slice(&call.body),
+            body: call.body.clone(),
+            receive_buffer: context.settings.resources.socket_buffer_bytes(),
         };
         let mut response = send_to_target(address, request).await?;
-        let body = response.read_body(MAX_RESPONSE_BYTES).await.map_err(SendError::MaybeSent)?;
+        let body = read_body(&mut response, account, call).await?;
         if may_have_died(context, target, address, response.framing()).await {
             let cause = "connection ended, and the target no longer listens";
             return Err(SendError::MaybeSent(cause.into()));
@@ -196,7 +233,8 @@
         Ok(PlainResponse {
             status: response.status().as_u16(),
             content_type: response.content_type().map(str::to_owned),
-            body: Bytes::copy_from_slice(&body),
+            body: body.into(),
+            held: Some(Arc::clone(&call.held)),
         })
     };
     tokio::time::timeout(Duration::from_millis(RESPONSE_TIMEOUT_MS), sending).await.unwrap_or_else(
--- a/crates/router/src/refusal.rs
+++ b/crates/router/src/refusal.rs
@@ -43,6 +43,12 @@
     KeyExpired,
     KeyMemoryFull,
     OutcomeUnknown,
+    /// All accounts together hold too much of the router's memory.
+    MemoryFull,
+    /// The account holds too much of the router's memory.
+    AccountMemory,
+    /// The response does not fit into the router's memory; the request has run.
+    ResponseNotHeld,
 }
 
 impl RefusalCode {
@@ -57,12 +63,16 @@
             Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
             Self::KeySealed | Self::KeyExpired => StatusCode::CONFLICT,
             Self::TargetSilent | Self::OutcomeUnknown => StatusCode::GATEWAY_TIMEOUT,
-            Self::TargetUnreachable | Self::TargetGarbage | Self::StreamBroken => {
-                StatusCode::BAD_GATEWAY
-            }
-            Self::WaitExceeded | Self::NoConfiguration | Self::Draining | Self::KeyMemoryFull => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::TargetUnreachable
+            | Self::TargetGarbage
+            | Self::StreamBroken
+            | Self::ResponseNotHeld => StatusCode::BAD_GATEWAY,
+            Self::WaitExceeded
+            | Self::NoConfiguration
+            | Self::Draining
+            | Self::KeyMemoryFull
+            | Self::MemoryFull
+            | Self::AccountMemory => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
@@ -73,7 +83,11 @@
             Self::QueueFull | Self::WaitExceeded => Some(2_000),
             Self::NoConfiguration | Self::TargetUnreachable | Self::KeyMemoryFull => Some(1_000),
             Self::Draining => Some(0),
-            Self::StreamBroken | Self::TargetGarbage => Some(500),
+            Self::StreamBroken
+            | Self::TargetGarbage
+            | Self::MemoryFull
+            | Self::AccountMemory
+            | Self::ResponseNotHeld => Some(500),
             _ => None,
         }
     }
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -11,16 +11,17 @@
 use ntex::web::{self, App};
 use tokio::signal::unix::{SignalKind, signal};
 
+use crate::accept::start_caller_server;
 use crate::client::{PeerClient, PlatformClient};
 use crate::context::RouterContext;
 use crate::granting::{run_gossip, run_granting};
 use crate::heartbeat::run_heartbeat;
 use crate::list::run_list_polling;
 use crate::load::run_load_polling;
+use crate::peer;
 use crate::placing::run_placement;
 use crate::settings::{RouterSettings, ShareMode};
 use crate::watch::run_document_watch;
-use crate::{address, caller, peer};
 
 /// Interval at which a drain checks for open requests, in milliseconds.
 const DRAIN_POLL_MS: u64 = 50;
@@ -66,7 +67,7 @@
     context.mark_control_thread();
     let peers = PeerClient::start(&context).await?;
     let platform = PlatformClient::default();
-    let caller_server = serve_callers(&context)?;
+    start_caller_server(&context)?;
     let peer_server = serve_peers(&context)?;
     tracing::info!(
         unit = "run",
@@ -95,7 +96,6 @@
         _ = terminate.recv() => log_unfinished_requests(&context, "second signal"),
     }
     context.stop.cancel();
-    caller_server.stop(false).await;
     peer_server.stop(false).await;
     Ok(())
 }
@@ -133,30 +133,13 @@
     tracing::warn!(unit = "run", event = "drain_ended", cause, cut);
 }
 
-fn http_config() -> SharedCfg {
+pub(crate) fn http_config() -> SharedCfg {
     let config = HttpServiceConfig::new()
         .set_headers_read_rate(HEADER_TIMEOUT, HEADER_TIMEOUT, 1_024)
         .set_keepalive(Seconds(30));
     SharedCfg::new("router").add(config).into()
 }
 
-fn serve_callers(context: &Arc<RouterContext>) -> anyhow::Result<ntex::server::Server> {
-    let listen = context.settings.listen;
-    let context = Arc::clone(context);
-    let server = web::server(async move || {
-        let Ok(peers) = PeerClient::start(&context).await else {
-            // Without its HTTP client the router cannot serve any request.
-            std::process::abort();
-        };
-        App::new().state(Arc::clone(&context)).state(peers).service((
-            web::resource("/v1/address").route(web::get().to(address::get_address)),
-            web::resource("/v1/keys").route(web::post().to(address::post_key)),
-            web::resource("/v1/call/{service}/{path}*").to(caller::call),
-        ))
-    });
-    Ok(server.workers(1).disable_signals().config(http_config()).bind(listen)?.run())
-}
-
 fn serve_peers(context: &Arc<RouterContext>) -> anyhow::Result<ntex::server::Server> {
     let listen = context.settings.peer_listen;
     let context = Arc::clone(context);
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use admit::ResourceSettings;
 use base::Name;
 use serde::{Deserialize, Serialize};
 
@@ -48,6 +49,11 @@
     #[serde(default = "default_drain_ms")]
     pub drain_ms: u64,
     #[serde(default)]
+    pub resources: ResourceSettings,
+    /// Time in which a caller must take 16 KiB of a response that waits for it, in seconds.
+    #[serde(default = "default_unread_s")]
+    pub unread_s: u64,
+    #[serde(default)]
     pub share: ShareMode,
     /// Lets tests cut the links to other routers.
     #[serde(default)]
@@ -62,6 +68,10 @@
     60_000
 }
 
+fn default_unread_s() -> u64 {
+    60
+}
+
 /// Minimum length of the secret, in bytes.
 const MIN_SECRET_BYTES: usize = 16;
 
@@ -78,6 +88,8 @@
             "secret has {bytes} bytes, at least {MIN_SECRET_BYTES} are required"
         );
         anyhow::ensure!(!self.instance.is_empty(), "instance is empty, a name is required");
+        self.resources.check()?;
+        anyhow::ensure!(self.unread_s > 0, "unread_s is 0, must be positive");
         anyhow::ensure!(self.listen != self.peer_listen, "listen and peer_listen are the same");
         Ok(())
     }
--- a/crates/router/src/sse.rs
+++ b/crates/router/src/sse.rs
@@ -44,6 +44,11 @@
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Returns the number of received bytes that are no complete event yet.
+    pub(crate) fn waiting(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns the next complete event, or `None` if more bytes are needed.
     ///
     /// # Errors
--- a/crates/router/src/target_client.rs
+++ b/crates/router/src/target_client.rs
@@ -5,9 +5,9 @@
 
 use http::header::{CONNECTION, CONTENT_TYPE, HOST};
 use http::{HeaderValue, Method, Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Bytes, Incoming};
-use outbound::{BodyFraming, Connection, ExchangeError, connect};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Bytes, Incoming};
+use outbound::{BodyFraming, Connection, ExchangeError, connect_buffered};
 
 /// Time to open a connection to a target.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -19,6 +19,8 @@
     pub(crate) path: &'a str,
     pub(crate) content_type: Option<&'a str>,
     pub(crate) body: Bytes,
+    /// Size of the socket's receive buffer, in bytes.
+    pub(crate) receive_buffer: usize,
 }
 
 /// A response of a target whose head has been read. Dropping it closes its connection.
@@ -39,6 +41,7 @@
     address: SocketAddr,
     request: TargetRequest<'_>,
 ) -> Result<TargetResponse, ExchangeError> {
+    let receive_buffer = request.receive_buffer;
     let mut builder = Request::builder()
         .method(request.method)
         .uri(request.path)
@@ -52,7 +55,7 @@
         peer: address,
         cause: cause.to_string(),
     })?;
-    let mut connection = connect(address, CONNECT_TIMEOUT).await?;
+    let mut connection = connect_buffered(address, CONNECT_TIMEOUT, receive_buffer).await?;
     let response = connection.exchange(built).await?;
     let framing = BodyFraming::of(&response);
     Ok(TargetResponse { response, framing, _connection: connection })
@@ -86,12 +89,8 @@
         Ok(None)
     }
 
-    /// Reads the whole body.
-    ///
-    /// # Errors
-    /// Returns a message if the body was broken off or has over `max_bytes`.
-    pub(crate) async fn read_body(&mut self, max_bytes: usize) -> Result<Bytes, String> {
-        let body = Limited::new(self.response.body_mut(), max_bytes).collect().await;
-        body.map(|body| body.to_bytes()).map_err(|cause| cause.to_string())
+    /// Returns the number of bytes that have not been read, if it is known.
+    pub(crate) fn remaining_bytes(&self) -> Option<u64> {
+        self.response.body().size_hint().exact()
     }
 }
