--- a/crates/admit/src/memory.rs
+++ b/crates/admit/src/memory.rs
@@ -82,6 +82,13 @@
         self.is_full
     }
 
+    /// Returns how many bytes heads of requests may take that are not complete, as long as nobody
+    /// knows of which account they are: as much as a single account that holds nothing.
+    pub fn head_room(&self) -> usize {
+        let left = self.settings.limit_bytes - self.used;
+        (left as f64 * self.settings.account_factor / (1.0 + self.settings.account_factor)) as usize
+    }
+
     /// Holds `bytes` for a new request of `account`.
     ///
     /// # Errors
--- a/crates/admit/tests/memory.rs
+++ b/crates/admit/tests/memory.rs
@@ -165,3 +165,25 @@
     budget.hold(Some(&second), 15_000).unwrap();
     assert!(budget.hold(Some(&first), 0).is_ok(), "refused with {} bytes held", budget.used());
 }
+
+/// Guards against responses that nobody takes and that leave nothing for an account that holds
+/// nothing.
+#[test]
+fn responses_leave_room_for_an_account_that_holds_nothing() {
+    let mut budget = budget();
+    let greedy = account(0);
+    let key = budget.hold(Some(&greedy), BODY_BYTES).unwrap();
+    while budget.hold_response(key, BODY_BYTES).is_ok() {}
+    assert!(budget.used() <= LIMIT_BYTES * 9 / 10, "{} bytes", budget.used());
+    let key = budget.hold(Some(&account(1)), BODY_BYTES).unwrap();
+    assert_eq!(budget.hold_response(key, LIMIT_BYTES / 25), Ok(()));
+}
+
+/// Guards against heads that are not complete and that exceed the budget beside what is held.
+#[test]
+fn heads_have_room_for_half_of_what_is_left() {
+    let mut budget = budget();
+    assert_eq!(budget.head_room(), LIMIT_BYTES / 2);
+    budget.hold(Some(&account(0)), LIMIT_BYTES / 5).unwrap();
+    assert_eq!(budget.head_room(), LIMIT_BYTES * 2 / 5);
+}
--- a/crates/gateway/src/worker.rs
+++ b/crates/gateway/src/worker.rs
@@ -120,6 +120,17 @@
         }
     }
 
+    /// Terminates connections whose incomplete heads take too much of the memory.
+    fn terminate_largest_heads(&self) {
+        let room = self.context.memory().head_room();
+        let terminated = self.connections.terminate_largest_heads(room);
+        if terminated > 0 {
+            self.context.metrics.count("heads_terminated", terminated as i64).ok();
+            let limit = "resources.memory_mb";
+            tracing::info!(unit = "accept", event = "heads_terminated", terminated, room, limit);
+        }
+    }
+
     /// Closes idle connections that have expired or belong to unknown targets.
     pub(crate) fn sweep(&self) {
         let targets = self.context.targets();
@@ -135,7 +146,9 @@
         worker.sweep();
         let terminated = worker.connections.terminate_overdue(tokio::time::Instant::now());
         if terminated > 0 {
-            tracing::info!(unit = "accept", event = "unread_terminated", terminated);
+            worker.context.metrics.count("unread_terminated", terminated as i64).ok();
+            let limit = "route.timeout_ms";
+            tracing::info!(unit = "accept", event = "unread_terminated", terminated, limit);
         }
     }
 }
@@ -151,6 +164,7 @@
         };
         let connections = context.open_connections();
         worker.close_longest_idle(connections, late_ms, now);
+        worker.terminate_largest_heads();
         let has_changed = context.accept_policy().record(connections, late_ms, now);
         if has_changed {
             tracing::warn!(
--- a/crates/inbound/src/connections.rs
+++ b/crates/inbound/src/connections.rs
@@ -2,6 +2,7 @@
 //! longest idle first, before the router would have to accept no more.
 
 use std::cell::RefCell;
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -14,6 +15,9 @@
 const CLOSE_FROM: f64 = 0.875;
 const CLOSE_DOWN_TO: f64 = 0.75;
 
+/// Fraction of the room for heads that are not complete which is left once some were terminated.
+const HEADS_DOWN_TO: f64 = 0.75;
+
 /// Time in milliseconds for which a connection must be idle to be closed. The request of
 /// a new one is on its way, or waits to be read.
 const MIN_IDLE_MS: Millis = 250;
@@ -94,6 +98,37 @@
         oldest.len()
     }
 
+    /// Terminates the connections with the largest heads that are not complete, if all such heads
+    /// take more than `room` bytes. Returns how many.
+    pub fn terminate_largest_heads(&self, room: usize) -> usize {
+        let mut idle = self.idle.borrow_mut();
+        let mut heads: Vec<(usize, IoRef)> = Vec::new();
+        let mut bytes = 0;
+        for (io, state) in idle.iter() {
+            let head_bytes = io.with_read_buf(|buffer| buffer.len());
+            if head_bytes > 0 && *state != IdleState::Closing {
+                bytes += head_bytes;
+                heads.push((head_bytes, io.clone()));
+            }
+        }
+        if bytes <= room {
+            return 0;
+        }
+        heads.sort_by_key(|(head_bytes, _)| Reverse(*head_bytes));
+        let leave = (room as f64 * HEADS_DOWN_TO) as usize;
+        let mut terminated = 0;
+        for (head_bytes, io) in heads {
+            if bytes <= leave {
+                break;
+            }
+            bytes -= head_bytes;
+            terminated += 1;
+            io.terminate();
+            idle.insert(io, IdleState::Closing);
+        }
+        terminated
+    }
+
     /// Terminates the connections whose callers have not taken their stream by its
     /// deadline. Returns how many.
     pub fn terminate_overdue(&self, now: Instant) -> usize {
--- a/crates/router/src/accept.rs
+++ b/crates/router/src/accept.rs
@@ -102,6 +102,13 @@
             context.metrics.count("idle_connections_closed", closed as i64).ok();
             tracing::info!(unit = "accept", event = "idle_closed", closed, open, limit);
         }
+        let room = context.memory().head_room();
+        let terminated = connections.terminate_largest_heads(room);
+        if terminated > 0 {
+            context.metrics.count("heads_terminated", terminated as i64).ok();
+            let limit = "resources.memory_mb";
+            tracing::info!(unit = "accept", event = "heads_terminated", terminated, room, limit);
+        }
         if context.accept_policy().record(open, late_ms, now) {
             let is_saturated = context.accept_policy().is_saturated();
             context.metrics.incr("saturation_changed").ok();
