tests: poplar-router ends callers that take nothing, and names a return time

Guards: unread_s ends connections whose callers take nothing, and their requests with them; a refusal for memory is 503 with Retry-After and says that the request has not run.

--- a/crates/bench/src/launch.rs
+++ b/crates/bench/src/launch.rs
@@ -448,6 +448,7 @@
         "log": plan.log,
         "share": plan.share,
         "resources": plan.resources,
+        "unread_s": plan.unread_s,
         "test_controls": true,
     });
     let settings_file = folder.join(format!("{name}.jsonc"));
--- a/crates/bench/src/plan.rs
+++ b/crates/bench/src/plan.rs
@@ -100,6 +100,8 @@
     pub listed_targets: usize,
     /// Whether engines accept orders with an outdated fencing token too.
     pub ignore_fence: bool,
+    /// Time that callers have to take a part of their response, in seconds.
+    pub unread_s: u64,
     /// Limits of each router's resources, as in its settings file.
     pub resources: Value,
 }
@@ -117,6 +119,7 @@
             replicas: None,
             listed_targets: 0,
             ignore_fence: false,
+            unread_s: 60,
             resources: Value::Object(serde_json::Map::new()),
         }
     }
--- a/crates/bench/tests/processes/slow_readers.rs
+++ b/crates/bench/tests/processes/slow_readers.rs
@@ -244,3 +244,53 @@
 fn connections_stay_within_the_descriptors() {
     check_crowd(SlowCrowd { callers: IDLE_CALLERS, ..unread() }, |_| Vec::new());
 }
+
+/// Guards against targets and memory that callers hold for ever by not reading.
+#[test]
+fn callers_that_take_nothing_lose_their_connection() {
+    let plan = FleetPlan { unread_s: 1, ..plan() };
+    with_plan(plan, |mut fleet, caller| async move {
+        start_proxies(&mut fleet, &caller).await?;
+        let router = &fleet.routers[0];
+        let connected = unread().connect(router.address, |_| stream_request(ACCOUNT, "1.1"))?;
+        let start = Instant::now();
+        let words = ["event=\"unread_terminated\"", "limit=\"unread_s\""];
+        while router.log_lines(&words).is_empty() {
+            assert!(start.elapsed() < ORDINARY_TIMEOUT, "no connection was ended");
+            std::thread::sleep(ORDINARY_PAUSE);
+        }
+        let is_closed = |status: &serde_json::Value| status["open_requests"] == 0;
+        fleet.wait_for_status(&caller, 0, is_closed).await?;
+        drop(connected);
+        Ok(())
+    });
+}
+
+/// Guards against a refusal for memory that does not name a return time, or that is for a request
+/// that has run.
+#[test]
+fn requests_are_refused_for_memory_with_a_return_time() {
+    with_plan(plan(), |mut fleet, caller| async move {
+        start_proxies(&mut fleet, &caller).await?;
+        let router = &fleet.routers[0];
+        let pid = router.process.as_ref().map(bench::ChildProcess::pid).unwrap_or_default();
+        let sampler = UseSampler::start(pid);
+        let path = format!("/length-{LONG_KB}");
+        let connected =
+            unread().connect(router.address, move |_| plain_request(ACCOUNT, &path, "1.1"))?;
+        sampler.settle();
+        let mut stream = TcpStream::connect(router.address)?;
+        stream.set_read_timeout(Some(ORDINARY_TIMEOUT))?;
+        stream.write_all(&plain_request(ACCOUNT, IDEMPOTENT_PATH, "1.0"))?;
+        let mut answer = Vec::new();
+        stream.read_to_end(&mut answer)?;
+        let (head, body) = split_head(&answer);
+        let body = String::from_utf8_lossy(&body).into_owned();
+        assert!(head.starts_with("HTTP/1.0 503") || head.starts_with("HTTP/1.1 503"), "{head}");
+        assert!(head.to_lowercase().contains("\nretry-after: "), "{head}");
+        assert!(body.contains("memory\"") || body.contains("memory_full\""), "{body}");
+        assert!(body.contains("\"ran\":\"no\""), "{body}");
+        drop(connected);
+        Ok(())
+    });
+}
