--- a/crates/bench/src/launch.rs
+++ b/crates/bench/src/launch.rs
@@ -447,6 +447,8 @@
         "secret": SECRET,
         "log": plan.log,
         "share": plan.share,
+        "resources": plan.resources,
+        "unread_s": plan.unread_s,
         "test_controls": true,
     });
     let settings_file = folder.join(format!("{name}.jsonc"));
--- a/crates/gateway/src/worker.rs
+++ b/crates/gateway/src/worker.rs
@@ -8,13 +8,13 @@
 
 use base::{Millis, Name};
 use cadence::prelude::*;
+use inbound::{BusyConnection, CallerConnections};
 use ntex::io::IoRef;
 use outbound::{
-    Connection, ConnectionPool, ExchangeError, PoolSettings, connect, max_idle_connections,
+    Connection, ConnectionPool, ExchangeError, PoolSettings, connect_buffered, max_idle_connections,
 };
 use target::TargetEntry;
 
-use crate::connections::{BusyConnection, CallerConnections};
 use crate::context::GatewayContext;
 
 /// Time to open a connection to a target: allows for a round trip between failure
@@ -78,7 +78,8 @@
                 return Ok(idle);
             }
         }
-        connect(entry.address, CONNECT_TIMEOUT).await
+        let receive_buffer = self.context.settings.resources.socket_buffer_bytes();
+        connect_buffered(entry.address, CONNECT_TIMEOUT, receive_buffer).await
     }
 
     /// Whether this thread was late at some time since `since`, so that a time-out says
@@ -119,6 +120,17 @@
         }
     }
 
+    /// Terminates connections whose incomplete heads take too much of the memory.
+    fn terminate_largest_heads(&self) {
+        let room = self.context.memory().head_room();
+        let terminated = self.connections.terminate_largest_heads(room);
+        if terminated > 0 {
+            self.context.metrics.count("heads_terminated", terminated as i64).ok();
+            let limit = "resources.memory_mb";
+            tracing::info!(unit = "accept", event = "heads_terminated", terminated, room, limit);
+        }
+    }
+
     /// Closes idle connections that have expired or belong to unknown targets.
     pub(crate) fn sweep(&self) {
         let targets = self.context.targets();
@@ -134,7 +146,9 @@
         worker.sweep();
         let terminated = worker.connections.terminate_overdue(tokio::time::Instant::now());
         if terminated > 0 {
-            tracing::info!(unit = "accept", event = "unread_terminated", terminated);
+            worker.context.metrics.count("unread_terminated", terminated as i64).ok();
+            let limit = "route.timeout_ms";
+            tracing::info!(unit = "accept", event = "unread_terminated", terminated, limit);
         }
     }
 }
@@ -150,6 +164,7 @@
         };
         let connections = context.open_connections();
         worker.close_longest_idle(connections, late_ms, now);
+        worker.terminate_largest_heads();
         let has_changed = context.accept_policy().record(connections, late_ms, now);
         if has_changed {
             tracing::warn!(
--- a/crates/gateway/src/connections.rs
+++ b/crates/inbound/src/connections.rs
@@ -2,6 +2,7 @@
 //! longest idle first, before the router would have to accept no more.
 
 use std::cell::RefCell;
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -14,6 +15,9 @@
 const CLOSE_FROM: f64 = 0.875;
 const CLOSE_DOWN_TO: f64 = 0.75;
 
+/// Fraction of the room for heads that are not complete which is left once some were terminated.
+const HEADS_DOWN_TO: f64 = 0.75;
+
 /// Time in milliseconds for which a connection must be idle to be closed. The request of
 /// a new one is on its way, or waits to be read.
 const MIN_IDLE_MS: Millis = 250;
@@ -31,13 +35,14 @@
 
 /// Connections without a request in progress, and the deadlines of streams.
 #[derive(Debug, Default)]
-pub(crate) struct CallerConnections {
+pub struct CallerConnections {
     idle: RefCell<HashMap<IoRef, IdleState>>,
     deadlines: RefCell<HashMap<IoRef, Instant>>,
 }
 
 /// A connection with a request in progress. It is idle again once this is dropped.
-pub(crate) struct BusyConnection {
+#[derive(Debug)]
+pub struct BusyConnection {
     connections: Rc<CallerConnections>,
     io: IoRef,
     clock: MonoClock,
@@ -45,18 +50,18 @@
 
 impl CallerConnections {
     /// Records a connection as idle since `now`.
-    pub(crate) fn insert(&self, io: IoRef, now: Millis) {
+    pub fn insert(&self, io: IoRef, now: Millis) {
         self.idle.borrow_mut().insert(io, IdleState::Since(now));
     }
 
     /// Forgets a connection that has ended.
-    pub(crate) fn remove(&self, io: &IoRef) {
+    pub fn remove(&self, io: &IoRef) {
         self.idle.borrow_mut().remove(io);
     }
 
     /// Closes the connections that have been idle longest if `open` connections are
     /// close to `max`, while the thread is late by `late_ms`. Returns how many.
-    pub(crate) fn close_longest_idle(
+    pub fn close_longest_idle(
         &self,
         open: usize,
         max: usize,
@@ -93,9 +98,40 @@
         oldest.len()
     }
 
+    /// Terminates the connections with the largest heads that are not complete, if all such heads
+    /// take more than `room` bytes. Returns how many.
+    pub fn terminate_largest_heads(&self, room: usize) -> usize {
+        let mut idle = self.idle.borrow_mut();
+        let mut heads: Vec<(usize, IoRef)> = Vec::new();
+        let mut bytes = 0;
+        for (io, state) in idle.iter() {
+            let head_bytes = io.with_read_buf(|buffer| buffer.len());
+            if head_bytes > 0 && *state != IdleState::Closing {
+                bytes += head_bytes;
+                heads.push((head_bytes, io.clone()));
+            }
+        }
+        if bytes <= room {
+            return 0;
+        }
+        heads.sort_by_key(|(head_bytes, _)| Reverse(*head_bytes));
+        let leave = (room as f64 * HEADS_DOWN_TO) as usize;
+        let mut terminated = 0;
+        for (head_bytes, io) in heads {
+            if bytes <= leave {
+                break;
+            }
+            bytes -= head_bytes;
+            terminated += 1;
+            io.terminate();
+            idle.insert(io, IdleState::Closing);
+        }
+        terminated
+    }
+
     /// Terminates the connections whose callers have not taken their stream by its
     /// deadline. Returns how many.
-    pub(crate) fn terminate_overdue(&self, now: Instant) -> usize {
+    pub fn terminate_overdue(&self, now: Instant) -> usize {
         let mut deadlines = self.deadlines.borrow_mut();
         let overdue: Vec<IoRef> = deadlines
             .iter()
@@ -112,7 +148,7 @@
 
 impl BusyConnection {
     /// Begins a request; `None` if this router has closed the connection.
-    pub(crate) fn begin(
+    pub fn begin(
         connections: &Rc<CallerConnections>,
         io: &IoRef,
         clock: &MonoClock,
@@ -125,14 +161,19 @@
         Some(Self { connections: Rc::clone(connections), io: io.clone(), clock: clock.clone() })
     }
 
-    pub(crate) fn io(&self) -> &IoRef {
+    pub fn io(&self) -> &IoRef {
         &self.io
     }
 
-    /// Bounds the time that the caller has to take a stream.
-    pub(crate) fn set_deadline(&self, deadline: Instant) {
+    /// Bounds the time that the caller has to take what is sent to it.
+    pub fn set_deadline(&self, deadline: Instant) {
         self.connections.deadlines.borrow_mut().insert(self.io.clone(), deadline);
     }
+
+    /// Removes the bound, as the caller has taken what was sent to it.
+    pub fn clear_deadline(&self) {
+        self.connections.deadlines.borrow_mut().remove(&self.io);
+    }
 }
 
 impl Drop for BusyConnection {
