--- a/crates/gateway/tests/fair_service/engine.rs
+++ b/crates/gateway/tests/fair_service/engine.rs
@@ -39,6 +39,7 @@
             running: self.running.len() as u32,
             waiting: self.waiting.len() as u32,
             slots: self.slots as u32,
+            slow_percent: None,
         }
     }
 
--- a/crates/gateway/tests/overload.rs
+++ b/crates/gateway/tests/overload.rs
@@ -96,6 +96,7 @@
                 running: engine.running as u32,
                 waiting: engine.waiting.len() as u32,
                 slots: SLOTS as u32,
+                slow_percent: None,
             };
             let router = &mut routers[sent.router];
             router.in_flight -= 1;
--- a/crates/rate/src/fleet.rs
+++ b/crates/rate/src/fleet.rs
@@ -39,8 +39,9 @@
         Self { own_hash: stable_hash(&[instance]), is_candidate, live, known }
     }
 
-    /// Returns the peer that issues permits for a target; `None` if this router does.
-    pub(crate) fn issuer(&self, key: RateKey) -> Option<SocketAddr> {
+    /// Returns the address of the peer that is elected for a target, which issues its permits and
+    /// keeps its work; `None` if this router is elected.
+    pub fn issuer(&self, key: RateKey) -> Option<SocketAddr> {
         let weight = |hash| mix_hashes(hash, key.hash());
         let first = self.live.iter().max_by_key(|peer| weight(peer.hash))?;
         let is_own = self.is_candidate && weight(self.own_hash) > weight(first.hash);
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -25,6 +25,7 @@
 pub use outage::OutageSettings;
 pub use registry::{RecordChange, RegistrySettings, TargetRecord, TargetRegistry};
 pub use selection::{
-    FullCounts, PromptPart, RequestProfile, SelectionError, SelectionQuery, SelectionSettings,
-    TargetSelection, mean_fullness, select_target,
+    CandidateSpread, FullCounts, PromptPart, RequestProfile, SelectionError, SelectionQuery,
+    SelectionSettings, TargetCandidate, TargetSelection, mean_fullness, offer_candidates,
+    select_target,
 };
--- a/crates/target/src/load.rs
+++ b/crates/target/src/load.rs
@@ -81,6 +81,8 @@
     pub running: u32,
     pub waiting: u32,
     pub slots: u32,
+    /// How long work takes on the target's machine, 100 as usual; `None` if it does not report it.
+    pub slow_percent: Option<u32>,
 }
 
 /// Sums over requests in flight at one target, of one or more routers.
--- a/crates/target/src/selection.rs
+++ b/crates/target/src/selection.rs
@@ -57,7 +57,7 @@
 
     /// Returns the id of the last shared part, which stands for the longest run
     /// of parts that other requests may share.
-    fn home_part(&self) -> Option<u64> {
+    pub fn home_part(&self) -> Option<u64> {
         let last_shared = self.parts.len().checked_sub(2)?;
         self.parts.get(last_shared).map(|part| part.id)
     }
@@ -278,6 +278,71 @@
     best.ok_or(SelectionError::Full { wait_ms: min_wait_ms.min(1e6) as Millis, counts })
 }
 
+/// A target that may get a request, in the order in which targets are asked for offers.
+#[derive(Clone, Debug)]
+pub struct TargetCandidate {
+    pub key: TargetKey,
+    pub entry: Arc<TargetEntry>,
+    /// Rank in the request's order of homes, starting at 0; `None` if it has no homes.
+    pub home_rank: Option<usize>,
+    /// Probability that the target holds the shared parts of the prompt.
+    pub cache_probability: f64,
+}
+
+/// Which targets are asked for offers.
+#[derive(Clone, Copy, Debug)]
+pub struct CandidateSpread {
+    /// Number of candidates.
+    pub count: usize,
+    /// Least number of homes: a part that many requests share needs more than its size tells.
+    pub min_homes: usize,
+}
+
+/// Returns candidates for a request: a home, by the hash of the request if there are several,
+/// the target after it in the order of homes, and others by the hash of the request. Their loads
+/// are not considered, as their work owners know them better.
+pub fn offer_candidates<'a>(
+    tracker: &mut LoadTracker,
+    candidates: impl Iterator<Item = &'a Arc<TargetEntry>>,
+    query: &SelectionQuery<'_>,
+    settings: &SelectionSettings,
+    spread: CandidateSpread,
+    now: Millis,
+) -> Vec<TargetCandidate> {
+    let home_part = query.profile.home_part();
+    let usual_homes = settings.home_count(query.profile.shared_tokens());
+    let mut ranked_targets = rank_targets(tracker, candidates, query, home_part, now);
+    let candidate = |target: &RankedTarget<'_>, home_rank: Option<usize>| TargetCandidate {
+        key: target.key,
+        entry: Arc::clone(target.entry),
+        home_rank,
+        cache_probability: home_rank
+            .map_or(0.0, |rank| settings.cache_probability(rank, usual_homes)),
+    };
+    let mut first = Vec::with_capacity(spread.count);
+    if home_part.is_some() {
+        let home_count = usual_homes.max(spread.min_homes).clamp(1, ranked_targets.len().max(1));
+        // One more than the homes, as the target after the last home gets what they can't take.
+        let mut homes = Vec::with_capacity(home_count + 1);
+        homes.extend(std::iter::from_fn(|| ranked_targets.pop()).take(home_count + 1));
+        let chosen = (query.request_hash % home_count as u64) as usize;
+        let next = if home_count > 1 { (chosen + 1) % home_count } else { 1 };
+        for rank in [chosen, next].into_iter().take(spread.count) {
+            first.extend(homes.get(rank).map(|target| candidate(target, Some(rank))));
+        }
+    }
+    let mut others = ranked_targets.into_vec();
+    while first.len() < spread.count {
+        let weight = |target: &RankedTarget<'_>| {
+            tracker.get(target.key).map(|load| mix_hashes(load.hash, query.request_hash))
+        };
+        let best = (0..others.len()).max_by_key(|index| weight(&others[*index]));
+        let Some(best) = best else { break };
+        first.push(candidate(&others.swap_remove(best), None));
+    }
+    first
+}
+
 /// A target with its rendezvous weight for a request. The target with the
 /// greatest weight is the first home, or comes first in the order of a request
 /// without homes.
--- a/crates/target/tests/full.rs
+++ b/crates/target/tests/full.rs
@@ -34,7 +34,7 @@
     let announced =
         [(TargetIdHash::new(ids[1]), load(3, 0)), (TargetIdHash::new(ids[3]), load(1, 9_000))];
     tracker.update_peer(&"router-2".into(), &announced, 1_000);
-    let report = LoadReport { running: 2, waiting: 2, slots: 4 };
+    let report = LoadReport { running: 2, waiting: 2, slots: 4, slow_percent: None };
     tracker.record_report(keys[2], report, 1_000);
     let query = SelectionQuery {
         profile: &profile,
@@ -68,7 +68,7 @@
         sender.start_request(key, &profile, 500, 0.0, 1_000);
     }
     // Only the sender has a report of the target.
-    let report = LoadReport { running: 4, waiting: 8, slots: 4 };
+    let report = LoadReport { running: 4, waiting: 8, slots: 4, slow_percent: None };
     sender.record_report(key, report, 1_000);
     peer.update_peer(&"sender".into(), &sender.own_loads(), 1_000);
     let mean = |tracker: &mut LoadTracker| {
--- a/crates/target/tests/plain.rs
+++ b/crates/target/tests/plain.rs
@@ -40,7 +40,11 @@
     let mut tracker = LoadTracker::default();
     for entry in entries {
         let key = tracker.key_for(entry);
-        tracker.record_report(key, LoadReport { running, waiting: 0, slots: entry.slots }, 100);
+        tracker.record_report(
+            key,
+            LoadReport { running, waiting: 0, slots: entry.slots, slow_percent: None },
+            100,
+        );
     }
     tracker
 }
--- a/crates/target/tests/stale_loads.rs
+++ b/crates/target/tests/stale_loads.rs
@@ -73,6 +73,7 @@
                     running: target.running.len() as u32,
                     waiting: target.waiting.len() as u32,
                     slots: SLOTS,
+                    slow_percent: None,
                 };
                 tracker.record_report(sent.key, report, now);
                 if let Some(request) = sent.request {
