gateway: owners of targets place requests of services that report how long work takes

First bytes, ends and loads are reported to the owner in batches. Setting choice.placement: auto, ledger or local.

--- a/crates/gateway/src/beats.rs
+++ b/crates/gateway/src/beats.rs
@@ -34,6 +34,9 @@
     RouterCondition, append_part, decode_changes, decode_heartbeat, decode_peer_message,
     is_peer_message,
 };
+use crate::offers::{
+    answer_offer_request, handle_offer_response, record_placement, record_report, send_reports,
+};
 use crate::permits::{answer_permit_request, handle_permit_response, merge_limits, update_fleet};
 use crate::platform::SourceUpdate;
 use crate::streams::{
@@ -75,6 +78,7 @@
     ntex::rt::spawn(fetch_from_peers(Arc::clone(context), fetch_receiver));
     ntex::rt::spawn(follow_configuration(Arc::clone(context)));
     ntex::rt::spawn(watch_streams(Arc::clone(context)));
+    ntex::rt::spawn(send_reports(Arc::clone(context)));
     Ok(())
 }
 
@@ -284,6 +288,10 @@
         Ok(PeerMessage::OriginResponse(response)) => {
             handle_origin_response(context, response, peer)
         }
+        Ok(PeerMessage::OfferRequest(request)) => answer_offer_request(context, &request, peer),
+        Ok(PeerMessage::OfferResponse(response)) => handle_offer_response(context, response, peer),
+        Ok(PeerMessage::PlacementNotice(notice)) => record_placement(context, &notice),
+        Ok(PeerMessage::WorkReport(report)) => record_report(context, &report),
         Err(cause) => {
             tracing::debug!(unit = "beats", event = "not_understood", %peer, %cause);
         }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -26,6 +26,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::configuration::EncodedConfiguration;
+use crate::offers::OfferExchange;
 use crate::permits::PermitExchange;
 use crate::platform::CallFormat;
 use crate::sampling::LogSampler;
@@ -129,6 +130,7 @@
     quarantine: Mutex<PartQuarantine>,
     limits: Mutex<RateLimiter>,
     pub(crate) permits: PermitExchange,
+    pub(crate) offers: OfferExchange,
     resumes: Mutex<ResumePolicy>,
     open_streams: Mutex<OpenStreams>,
     pub(crate) origins: OriginExchange,
@@ -218,6 +220,7 @@
         let backoffs = TargetBackoffs::new(origin_hash, BackoffSettings::default());
         let targets = TargetRegistry::with_backoffs(RegistrySettings::default(), backoffs);
         let fleet = FleetView::new(&settings.instance, true, Vec::new(), members.known_count());
+        let offers = OfferExchange::new(fleet.clone(), origin_hash);
         let limiter = RateLimiter::new(fleet, RateSettings::default());
         let holders = HolderList::new(settings.listen.peers, HolderSettings::default());
         Arc::new(Self {
@@ -239,6 +242,7 @@
             quarantine: Mutex::new(quarantine),
             limits: Mutex::new(limiter),
             permits: PermitExchange::default(),
+            offers,
             resumes: Mutex::new(ResumePolicy::new(ResumeSettings::default())),
             open_streams: Mutex::default(),
             origins: OriginExchange::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod heap;
 mod held;
 mod messages;
+mod offers;
 mod parts;
 mod permits;
 mod pipeline;
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -12,6 +12,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use target::{InFlightLoad, InFlightTotals, LeavingTarget, LeftTarget, TargetIdHash, TargetRecord};
+use work::{OfferRequest, OfferResponse, PlacementNotice, WorkReport};
 
 /// Largest heartbeat datagram, in bytes. It stays below the usual packet size.
 pub(crate) const MAX_HEARTBEAT_BYTES: usize = 1_400;
@@ -93,6 +94,15 @@
     StreamsBegan(Vec<StreamRecord>),
     OriginRequest(OriginRequest),
     OriginResponse(OriginResponse),
+    // Names on the wire are short from here on, as these messages are sent for each request.
+    #[serde(rename = "ask")]
+    OfferRequest(OfferRequest),
+    #[serde(rename = "bid")]
+    OfferResponse(OfferResponse),
+    #[serde(rename = "put")]
+    PlacementNotice(PlacementNotice),
+    #[serde(rename = "saw")]
+    WorkReport(WorkReport),
 }
 
 /// Asks a holder which software version began a stream.
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -18,6 +18,7 @@
 
 use crate::context::GatewayContext;
 use crate::messages::{PeerMessage, encode_peer_message};
+use crate::offers::retain_models;
 use crate::platform::NamedLimit;
 
 /// Time that a request waits for an issuer: a round trip between failure domains, with both
@@ -246,6 +247,7 @@
     drop(members);
     let is_candidate = !context.is_draining();
     let fleet = FleetView::new(&context.settings.instance, is_candidate, live, known);
+    context.offers.set_fleet(fleet.clone());
     context.limits().set_fleet(fleet);
 }
 
@@ -254,4 +256,5 @@
     let known: Vec<RateKey> = context.targets().known().map(rate_key).collect();
     let now = context.now();
     context.limits().retain_targets(|key| known.contains(&key), now);
+    retain_models(context, &known);
 }
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -8,6 +8,7 @@
 
 use crate::call::AdmittedCall;
 use crate::context::GatewayContext;
+use crate::offers::{self, PlacedSelection, Placement};
 use crate::permits::{SendPermit, acquire, rate_key};
 use crate::refusal::{Refusal, RefusalCause};
 use crate::send::{Attempts, TARGET_RETRY_MS};
@@ -44,12 +45,23 @@
     pub(crate) home_rank: Option<usize>,
     /// Age of the target's own load report, in milliseconds, if it was used.
     pub(crate) report_age_ms: Option<u64>,
+    /// Whether the owner of the target made the estimate.
+    pub(crate) is_by_owner: bool,
+    /// Age in milliseconds of the owner's newest report on the target.
+    pub(crate) owner_age_ms: Option<u64>,
+    /// Number of owners that were asked; `None` where placement by offers is not active.
+    pub(crate) asked: Option<usize>,
     /// Time between the selection and the writing of the request, in milliseconds;
     /// `None` if it was not written.
     pub(crate) write_delay_ms: Option<u64>,
 }
 
 impl SelectionEstimate {
+    /// Returns who made the estimate, for the log.
+    pub(crate) fn source(&self) -> &'static str {
+        if self.is_by_owner { "owner" } else { "local" }
+    }
+
     fn new(selection: &TargetSelection) -> Self {
         Self {
             expected_ms: selection.expected_ms as u64,
@@ -58,11 +70,23 @@
             unread_tokens: selection.unread_tokens,
             home_rank: selection.home_rank,
             report_age_ms: selection.report_age,
+            is_by_owner: false,
+            owner_age_ms: None,
+            asked: None,
             write_delay_ms: None,
         }
     }
 }
 
+/// A selected target, with a permit to send the request there.
+#[derive(Debug)]
+pub(crate) struct PermittedTarget {
+    pub(crate) selection: TargetSelection,
+    pub(crate) permit: SendPermit,
+    /// `None` where placement by offers is not active.
+    pub(crate) placement: Option<Placement>,
+}
+
 /// Selects a target, with a permit to send the request there.
 ///
 /// # Errors
@@ -71,22 +95,19 @@
     worker: &Worker,
     call: &AdmittedCall,
     attempts: &mut Attempts,
-) -> Result<(TargetSelection, SendPermit), Refusal> {
+) -> Result<PermittedTarget, Refusal> {
     let context = &worker.context;
     let class = request_class(context, call);
     let mut denied = Vec::new();
     loop {
-        let selection = select_next_target(worker, call, class, attempts, &denied)?;
-        attempts.selection = Some(SelectionEstimate::new(&selection));
-        if attempts.tried.is_empty() {
-            share::check_capacity(context, call, &selection)?;
-        }
+        let (selection, placement) =
+            select_next_target(worker, call, class, attempts, &denied).await?;
         match acquire(context, &selection.entry, class).await {
             Ok(permit) => {
                 if permit.is_limited() && call.cost > 0.0 {
                     context.shares().record_rated_cost(call.cost);
                 }
-                return Ok((selection, permit));
+                return Ok(PermittedTarget { selection, permit, placement });
             }
             Err(retry_ms) => {
                 denied.push(DeniedPermit { target: Name::clone(&selection.entry.id), retry_ms });
@@ -200,41 +221,113 @@
     Ok(())
 }
 
-fn select_next_target(
+/// The targets that may get a request.
+struct Candidates {
+    entries: Vec<Arc<TargetEntry>>,
+    /// Time in milliseconds until the rate of a target that is not among them may be used.
+    rate_wait_ms: Option<Millis>,
+}
+
+impl Candidates {
+    /// # Errors
+    /// Returns a refusal if no target has the version that began the stream.
+    fn of(
+        context: &GatewayContext,
+        call: &AdmittedCall,
+        class: RequestClass,
+        attempts: &Attempts,
+        denied: &[DeniedPermit],
+    ) -> Result<Self, Refusal> {
+        let now = context.now();
+        let routed = &call.routed;
+        let mut entries: Vec<Arc<TargetEntry>> =
+            context.targets().serving(&routed.service, now).cloned().collect();
+        entries.retain(|entry| !attempts.tried.contains(&entry.id));
+        if routed.route.kind.is_resumable() {
+            let version = attempts.software_version.as_deref();
+            restrict_versions(context, &routed.service, version, &mut entries)?;
+        }
+        let rate_wait_ms = remove_rate_limited(context, &mut entries, class, denied);
+        Ok(Self { entries, rate_wait_ms })
+    }
+
+    /// Selects a target by this router's own estimate.
+    ///
+    /// # Errors
+    /// Returns a refusal if no target can take the request.
+    fn select(
+        &self,
+        context: &GatewayContext,
+        call: &AdmittedCall,
+        query: &SelectionQuery<'_>,
+    ) -> Result<TargetSelection, Refusal> {
+        let now = context.now();
+        let settings = &context.settings.choice;
+        let entries = self.entries.iter();
+        let result = select_target(&mut context.loads(), entries, query, settings, now);
+        result.map_err(|error| match (error, self.rate_wait_ms) {
+            (SelectionError::NoTarget, Some(wait_ms)) => rate_refusal(call, wait_ms),
+            (SelectionError::NoTarget, None) => no_target_refusal(context, call, now),
+            (SelectionError::Full { wait_ms, counts }, _) => {
+                let wait_ms = wait_ms.clamp(TARGETS_FULL_RETRY_MS.0, TARGETS_FULL_RETRY_MS.1);
+                Refusal::targets_full(counts, wait_ms)
+            }
+        })
+    }
+
+    /// Removes targets, unless none is left then.
+    fn remove(&mut self, names: &[Name]) {
+        if self.entries.iter().any(|entry| !names.contains(&entry.id)) {
+            self.entries.retain(|entry| !names.contains(&entry.id));
+        }
+    }
+}
+
+async fn select_next_target(
     worker: &Worker,
     call: &AdmittedCall,
     class: RequestClass,
-    attempts: &Attempts,
+    attempts: &mut Attempts,
     denied: &[DeniedPermit],
-) -> Result<TargetSelection, Refusal> {
-    let tried = &attempts.tried;
+) -> Result<(TargetSelection, Option<Placement>), Refusal> {
     let context = &worker.context;
-    let now = context.now();
     let routed = &call.routed;
-    let mut candidates: Vec<Arc<TargetEntry>> =
-        context.targets().serving(&routed.service, now).cloned().collect();
-    candidates.retain(|entry| !tried.contains(&entry.id));
-    if routed.route.kind.is_resumable() {
-        let version = attempts.software_version.as_deref();
-        restrict_versions(context, &routed.service, version, &mut candidates)?;
-    }
-    let rate_wait_ms = remove_rate_limited(context, &mut candidates, class, denied);
+    let mut candidates = Candidates::of(context, call, class, attempts, denied)?;
+    let tried = attempts.tried.clone();
     let query = SelectionQuery {
         profile: routed.profile(),
         target_latency_ms: routed.route.target_latency_ms,
         engine_memory: routed.engine_memory(),
         request_hash: base::stable_hash(&[routed.id()]),
-        tried,
+        tried: &tried,
         failure_domain: &context.settings.failure_domain,
     };
-    let settings = &context.settings.choice;
-    let result = select_target(&mut context.loads(), candidates.iter(), &query, settings, now);
-    result.map_err(|error| match (error, rate_wait_ms) {
-        (SelectionError::NoTarget, Some(wait_ms)) => rate_refusal(call, wait_ms),
-        (SelectionError::NoTarget, None) => no_target_refusal(context, call, now),
-        (SelectionError::Full { wait_ms, counts }, _) => {
-            let wait_ms = wait_ms.clamp(TARGETS_FULL_RETRY_MS.0, TARGETS_FULL_RETRY_MS.1);
-            Refusal::targets_full(counts, wait_ms)
+    let is_active = offers::is_active(context, &routed.service);
+    let mut asked = None;
+    if is_active && candidates.entries.len() > 1 {
+        // Whether an account over its share is served is decided as without offers.
+        if tried.is_empty() && !call.is_within_share() {
+            share::check_capacity(context, call, &candidates.select(context, call, &query)?)?;
+        }
+        let result = offers::place(context, &query, &candidates.entries).await;
+        asked = Some(result.asked);
+        if let Some(placed) = result.placed {
+            let PlacedSelection { selection, placement, age_ms } = *placed;
+            attempts.selection = Some(SelectionEstimate {
+                is_by_owner: true,
+                owner_age_ms: age_ms,
+                asked,
+                ..SelectionEstimate::new(&selection)
+            });
+            return Ok((selection, Some(placement)));
         }
-    })
+        candidates.remove(&result.full);
+    }
+    let selection = candidates.select(context, call, &query)?;
+    attempts.selection = Some(SelectionEstimate { asked, ..SelectionEstimate::new(&selection) });
+    if tried.is_empty() {
+        share::check_capacity(context, call, &selection)?;
+    }
+    let placement = is_active.then(|| offers::record_local(context, &query, &selection));
+    Ok((selection, placement))
 }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -11,18 +11,21 @@
 use hyper::body::Incoming;
 use outbound::{Connection, ExchangeError};
 use route::CallKind;
-use target::{OutstandingKey, RequestOutcome, TargetEntry, TargetKey, TargetSelection};
+use target::{OutstandingKey, RequestOutcome, TargetEntry, TargetKey};
 
 use crate::answers::{record_backoff, record_leaving};
 use crate::call::AdmittedCall;
 use crate::context::GatewayContext;
 use crate::crashes::{crash_suspects, may_retry, record_complete, record_crash};
 use crate::headers::build_request;
+use crate::offers::{Placement, record_service_load};
 use crate::parts::PartList;
-use crate::permits::{SendPermit, record_limit};
+use crate::permits::record_limit;
 use crate::platform::NamedLimit;
 use crate::refusal::{Refusal, RefusalCause};
-use crate::select::{SelectionEstimate, record_rate_outcome, select_permitted_target};
+use crate::select::{
+    PermittedTarget, SelectionEstimate, record_rate_outcome, select_permitted_target,
+};
 use crate::streams::TakenUpStream;
 use crate::worker::{ConnectionReuse, Worker};
 
@@ -52,6 +55,8 @@
     /// What a crash of the target may be due to.
     suspects: Vec<u64>,
     first_byte_at: Cell<Option<Millis>>,
+    /// Counts the request at the owner of the target until it is dropped.
+    placement: Option<Placement>,
     /// The target wants no request for a time, which is not a failure.
     is_turned_away: bool,
 }
@@ -62,6 +67,9 @@
         let context = &self.worker.context;
         let now = context.now();
         self.first_byte_at.set(Some(now));
+        if let Some(placement) = &self.placement {
+            placement.record_first_byte(now);
+        }
         if let Some(request_key) = self.request_key {
             context.loads().record_first_byte(self.target_key, request_key, now);
         }
@@ -113,6 +121,7 @@
 
     fn remove(&mut self, outcome: Option<RequestOutcome>) {
         let outcome = outcome.filter(|_| !self.is_turned_away);
+        self.placement = None;
         let Some(request_key) = self.request_key.take() else { return };
         let context = &self.worker.context;
         let now = context.now();
@@ -206,11 +215,11 @@
     loop {
         let result = select_permitted_target(worker, call, attempts).await;
         record_rate_outcome(context, call, result.as_ref().err());
-        let (selection, permit) = result.map_err(|refusal| attempts.adjust_refusal(refusal))?;
-        let entry = Arc::clone(&selection.entry);
+        let permitted = result.map_err(|refusal| attempts.adjust_refusal(refusal))?;
+        let entry = Arc::clone(&permitted.selection.entry);
         attempts.tried.push(Name::clone(&entry.id));
         let sent_before = attempts.sent;
-        let end = run_attempt(worker, call, selection, permit, attempts).await;
+        let end = run_attempt(worker, call, permitted, attempts).await;
         let (cause, refusal) = match end {
             AttemptEnd::Response(exchange) => {
                 let failed = exchange.response.status().is_server_error();
@@ -318,10 +327,10 @@
 async fn run_attempt(
     worker: &Rc<Worker>,
     call: &AdmittedCall,
-    selection: TargetSelection,
-    mut permit: SendPermit,
+    permitted: PermittedTarget,
     attempts: &mut Attempts,
 ) -> AttemptEnd {
+    let PermittedTarget { selection, mut permit, placement } = permitted;
     let context = &worker.context;
     let entry = selection.entry;
     let profile = call.routed.profile();
@@ -339,6 +348,7 @@
         request_key,
         suspects: crash_suspects(call),
         first_byte_at: Cell::new(None),
+        placement,
         is_turned_away: false,
     };
     let mut reuse = match call.routed.route.kind {
@@ -374,6 +384,9 @@
         }
         let sent_at = context.now();
         context.targets().backoffs().record_sent(&outstanding.entry, sent_at);
+        if let Some(placement) = &outstanding.placement {
+            placement.record_written(sent_at);
+        }
         permit.set_used(true);
         let result = connection.exchange(request).await;
         if result.as_ref().is_err_and(ExchangeError::is_unsent) {
@@ -414,6 +427,10 @@
     if let Some(load) = metadata.load {
         context.loads().record_report(selection.key, load, context.now());
         context.fullness().record(&call.routed.service, load, context.now());
+        record_service_load(context, &call.routed.service, load);
+        if let Some(placement) = &outstanding.placement {
+            placement.record_load(load);
+        }
     }
     attempts.named_limit = metadata.rate_limit;
     let is_own_response = metadata.id.as_deref() == call.routed.received.metadata.id.as_deref();
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -25,7 +25,7 @@
 pub use outage::OutageSettings;
 pub use registry::{RecordChange, RegistrySettings, TargetRecord, TargetRegistry};
 pub use selection::{
-    CandidateSpread, FullCounts, PromptPart, RequestProfile, SelectionError, SelectionQuery,
-    SelectionSettings, TargetCandidate, TargetSelection, mean_fullness, offer_candidates,
-    select_target,
+    CandidateSpread, FullCounts, PlacementMode, PromptPart, RequestProfile, SelectionError,
+    SelectionQuery, SelectionSettings, TargetCandidate, TargetSelection, mean_fullness,
+    offer_candidates, select_target,
 };
--- a/crates/target/src/selection.rs
+++ b/crates/target/src/selection.rs
@@ -63,6 +63,19 @@
     }
 }
 
+/// Who decides where a request goes.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum PlacementMode {
+    /// The work owners of targets, for services whose targets report how long work takes.
+    #[default]
+    Auto,
+    /// The work owners of targets.
+    Ledger,
+    /// The estimate of each router.
+    Local,
+}
+
 /// Limits and estimates for the selection of a target.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
@@ -94,6 +107,7 @@
     pub most_homes: usize,
     /// Latency added by a target in another failure domain, in milliseconds.
     pub crossing_ms: f64,
+    pub placement: PlacementMode,
 }
 
 impl Default for SelectionSettings {
@@ -108,6 +122,7 @@
             home_tokens: 2_000,
             most_homes: 3,
             crossing_ms: 3.0,
+            placement: PlacementMode::Auto,
         }
     }
 }
