--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod reload;
 mod report;
 mod resources;
+mod rounds;
 mod run;
 mod sampling;
 mod select;
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -8,9 +8,10 @@
 
 use crate::call::AdmittedCall;
 use crate::context::GatewayContext;
-use crate::offers::{self, PlacedSelection, Placement};
+use crate::offers::{self, Placement};
 use crate::permits::{SendPermit, acquire, rate_key};
 use crate::refusal::{Refusal, RefusalCause};
+use crate::rounds::{self, PlacedSelection};
 use crate::send::{Attempts, TARGET_RETRY_MS};
 use crate::share;
 use crate::worker::Worker;
@@ -309,7 +310,7 @@
         if tried.is_empty() && !call.is_within_share() {
             share::check_capacity(context, call, &candidates.select(context, call, &query)?)?;
         }
-        let result = offers::place(context, &query, &candidates.entries).await;
+        let result = rounds::place(context, &query, &candidates.entries).await;
         asked = Some(result.asked);
         if let Some(placed) = result.placed {
             let PlacedSelection { selection, placement, age_ms } = *placed;
