--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -194,6 +194,7 @@
             home_rank = self.selection.and_then(|selection| selection.home_rank),
             estimate = self.selection.map(|selection| selection.source()),
             owner_age_ms = self.selection.and_then(|selection| selection.owner_age_ms),
+            offer_ms = self.selection.and_then(|selection| selection.offer_ms),
             offers_asked = self.selection.and_then(|selection| selection.asked),
             report_age_ms = self.selection.and_then(|selection| selection.report_age_ms),
             write_delay_ms = self.selection.and_then(|selection| selection.write_delay_ms),
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -52,6 +52,8 @@
     pub(crate) owner_age_ms: Option<u64>,
     /// Number of owners that were asked; `None` where placement by offers is not active.
     pub(crate) asked: Option<usize>,
+    /// Time that the request waited for offers, in milliseconds.
+    pub(crate) offer_ms: Option<u64>,
     /// Time between the selection and the writing of the request, in milliseconds;
     /// `None` if it was not written.
     pub(crate) write_delay_ms: Option<u64>,
@@ -74,6 +76,7 @@
             is_by_owner: false,
             owner_age_ms: None,
             asked: None,
+            offer_ms: None,
             write_delay_ms: None,
         }
     }
@@ -305,12 +308,15 @@
     };
     let is_active = offers::is_active(context, &routed.service);
     let mut asked = None;
+    let mut offer_ms = None;
     if is_active && candidates.entries.len() > 1 {
         // Whether an account over its share is served is decided as without offers.
         if tried.is_empty() && !call.is_within_share() {
             share::check_capacity(context, call, &candidates.select(context, call, &query)?)?;
         }
+        let asked_at = context.now();
         let result = rounds::place(context, &query, &candidates.entries).await;
+        offer_ms = Some(context.now().saturating_sub(asked_at));
         asked = Some(result.asked);
         if let Some(placed) = result.placed {
             let PlacedSelection { selection, placement, age_ms } = *placed;
@@ -318,6 +324,7 @@
                 is_by_owner: true,
                 owner_age_ms: age_ms,
                 asked,
+                offer_ms,
                 ..SelectionEstimate::new(&selection)
             });
             return Ok((selection, Some(placement)));
@@ -325,7 +332,8 @@
         candidates.remove(&result.full);
     }
     let selection = candidates.select(context, call, &query)?;
-    attempts.selection = Some(SelectionEstimate { asked, ..SelectionEstimate::new(&selection) });
+    attempts.selection =
+        Some(SelectionEstimate { asked, offer_ms, ..SelectionEstimate::new(&selection) });
     if tried.is_empty() {
         share::check_capacity(context, call, &selection)?;
     }
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -49,6 +49,15 @@
     }
 }
 
+/// Guards against a mistyped mode that is taken for another one.
+#[test]
+fn placement_has_three_modes() {
+    for mode in ["auto", "ledger", "local"] {
+        check_with("choice", "placement", json!(mode)).unwrap();
+    }
+    assert!(check_with("choice", "placement", json!("owner")).is_err());
+}
+
 #[test]
 fn unknown_keys_are_refused() {
     assert!(check_with("choice", "home", json!(1)).is_err());
--- a/crates/work/tests/ledger.rs
+++ b/crates/work/tests/ledger.rs
@@ -210,3 +210,35 @@
     assert_eq!(taken[0].1.events[0], (key(), expected));
     assert!(batches.is_empty());
 }
+
+/// Guards against messages that grow beyond the control traffic that is allowed: the figures of
+/// docs/design/work-aware-placement.md follow from these sizes.
+#[test]
+fn messages_are_small() {
+    let mut owner = owner();
+    let cost = RequestCost {
+        prompt_tokens: 12_000,
+        shared_tokens: 5_400,
+        part: u32::MAX,
+        held_percent: 95,
+        output_tokens: 500,
+    };
+    let size = TargetSize { slots: 24, memory_tokens: 320_000 };
+    let in_flight = InFlightWork { requests: 2, unread_tokens: 12_000 };
+    let id = PlacementId::new(u64::MAX, u32::MAX);
+    let request = OfferRequest { id, cost, size, in_flight, ..request(1, 0, 100) };
+    let response = owner.offer(&request, 0);
+    let notice = PlacementNotice { id, key: key(), cost, size };
+    let load = ReportedLoad { running: 20, waiting: 3, slow_percent: Some(250), age_ms: 40 };
+    let first_byte = WorkEvent::FirstByte { id, waited_ms: 300, age_ms: 40 };
+    let events = vec![(key(), WorkEvent::Load(load)), (key(), first_byte)];
+    let report = WorkReport { events };
+    let sizes = [
+        rmp_serde::to_vec(&request).unwrap().len(),
+        rmp_serde::to_vec(&response).unwrap().len(),
+        rmp_serde::to_vec(&notice).unwrap().len(),
+        rmp_serde::to_vec(&report).unwrap().len(),
+    ];
+    println!("request, response, notice, report: {sizes:?} bytes");
+    assert!(sizes.iter().all(|bytes| *bytes <= 64), "{sizes:?}");
+}
--- a/crates/work/tests/placement/main.rs
+++ b/crates/work/tests/placement/main.rs
@@ -5,10 +5,13 @@
 //! test. The baselines that count outstanding requests know them without delay, which no
 //! instance does.
 
+mod choices;
 mod engine;
+mod load;
 mod simulation;
 
-use simulation::{Load, Outcome, Policy, Simulation};
+use load::{Load, Outcome, Policy};
+use simulation::Simulation;
 
 const BASELINES: [Policy; 3] = [Policy::Local, Policy::LeastOutstanding, Policy::TwoChoices];
 /// Part of requests whose first event must come within the target latency. Callers count a
@@ -46,7 +49,7 @@
 /// Whether the expected time of each kind is off by less than a quarter of its target, beyond which
 /// it does not tell a late target from one in time.
 fn has_good_estimates(outcome: &Outcome) -> bool {
-    let targets_ms = simulation::KINDS.map(|kind| kind.target_ms as f64);
+    let targets_ms = load::KINDS.map(|kind| kind.target_ms as f64);
     let kinds = outcome.kinds.iter().zip(targets_ms);
     kinds.into_iter().all(|(kind, target_ms)| kind.mean_error_ms() < target_ms / 4.0)
 }
