work: forged values are checked while they count

Three broken variants (cost, slots and slow-down unbounded) passed the earlier test, as the forged values had expired before it looked.

--- a/crates/work/tests/ledger.rs
+++ b/crates/work/tests/ledger.rs
@@ -138,6 +138,27 @@
     assert_eq!(offer.outcome, OfferOutcome::Placed, "{offer:?}");
 }
 
+/// Guards against a forged value that keeps requests away from a target while it counts.
+#[test]
+fn wrong_values_count_for_little() {
+    let mut owner = owner();
+    let no_slots = TargetSize { slots: 0, ..SIZE };
+    let offer = owner.offer(&OfferRequest { size: no_slots, ..request(1, 10, 100) }, 0);
+    assert_eq!(offer.outcome, OfferOutcome::Placed, "no slots");
+    report(&mut owner, WorkEvent::Ended { id: id(1) }, 1);
+    let usual = owner.offer(&request(2, 10_000, 0), 2).expected_ms;
+    let percent = Some(u32::MAX);
+    let load = ReportedLoad { running: 0, waiting: 0, slow_percent: percent, age_ms: 0 };
+    report(&mut owner, WorkEvent::Load(load), 2);
+    let slow = owner.offer(&request(2, 10_000, 0), 3).expected_ms;
+    assert!(slow <= usual * 10, "{slow} and {usual}");
+    let notice = PlacementNotice { id: id(3), key: key(), cost: cost(u32::MAX), size: SIZE };
+    owner.place(&notice, 1_000);
+    // A million tokens at the usual speed.
+    let offer = owner.offer(&request(4, 10, 0), 1_001);
+    assert!(offer.wait_ms < 20_000, "{offer:?}");
+}
+
 /// Guards against a slow-down that is used after the machine may have recovered.
 #[test]
 fn only_a_young_slow_down_counts() {
