--- a/crates/gateway/src/offers.rs
+++ b/crates/gateway/src/offers.rs
@@ -77,7 +77,13 @@
     }
 
     /// Adds an event for the owner of a target; `None` if that is this router.
-    fn report(&self, owner: Option<SocketAddr>, key: RateKey, event: WorkEvent, now: Millis) {
+    pub(crate) fn report(
+        &self,
+        owner: Option<SocketAddr>,
+        key: RateKey,
+        event: WorkEvent,
+        now: Millis,
+    ) {
         let mut state = self.state();
         match owner {
             None => state.owner.record(&WorkReport { events: vec![(key, event)] }, now),
--- a/crates/gateway/src/rounds.rs
+++ b/crates/gateway/src/rounds.rs
@@ -14,7 +14,7 @@
 use tokio::sync::mpsc;
 use work::{
     InFlightWork, OfferChoice, OfferOutcome, OfferRequest, OfferResponse, PlacementId,
-    PlacementNotice, ReceivedOffer, RequestCost, TargetSize, WorkSettings,
+    PlacementNotice, ReceivedOffer, RequestCost, TargetSize, WorkEvent, WorkSettings,
 };
 
 use crate::context::GatewayContext;
@@ -95,6 +95,15 @@
 impl Drop for OfferRound<'_> {
     fn drop(&mut self) {
         self.context.offers.state().waiters.remove(&self.id);
+        // A placement that came after the time-out was not taken; later ones find no waiter.
+        while let Ok(response) = self.receiver.try_recv() {
+            let asked = self.candidates.iter().find(|asked| asked.key == response.key);
+            let Some(asked) = asked.filter(|_| response.outcome == OfferOutcome::Placed) else {
+                continue;
+            };
+            let event = WorkEvent::Ended { id: self.id };
+            self.context.offers.report(asked.owner, asked.key, event, self.context.now());
+        }
     }
 }
 
