Merge the work on placement by owners

Cause: built side by side with the other parts. Change: messages between instances keep the order of the merges: cold permits, then offers.

--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -27,6 +27,7 @@
 
 use crate::cold::{ColdExchange, ColdState};
 use crate::configuration::EncodedConfiguration;
+use crate::offers::OfferExchange;
 use crate::permits::PermitExchange;
 use crate::platform::CallFormat;
 use crate::sampling::LogSampler;
@@ -132,6 +133,7 @@
     cold: Mutex<ColdState>,
     pub(crate) cold_permits: ColdExchange,
     pub(crate) permits: PermitExchange,
+    pub(crate) offers: OfferExchange,
     resumes: Mutex<ResumePolicy>,
     open_streams: Mutex<OpenStreams>,
     pub(crate) origins: OriginExchange,
@@ -224,6 +226,7 @@
         let backoffs = TargetBackoffs::new(origin_hash, BackoffSettings::default());
         let targets = TargetRegistry::with_backoffs(RegistrySettings::default(), backoffs);
         let fleet = FleetView::new(&settings.instance, true, Vec::new(), members.known_count());
+        let offers = OfferExchange::new(fleet.clone(), origin_hash);
         let limiter =
             RateLimiter::new(fleet, RateSettings::default()).with_cold_bounds(bounds.cold());
         let holders = HolderList::new(settings.listen.peers, HolderSettings::default());
@@ -248,6 +251,7 @@
             cold: Mutex::default(),
             cold_permits: ColdExchange::default(),
             permits: PermitExchange::default(),
+            offers,
             resumes: Mutex::new(ResumePolicy::new(ResumeSettings::default())),
             open_streams: Mutex::default(),
             origins: OriginExchange::default(),
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -15,6 +15,7 @@
     DomainListing, InFlightLoad, InFlightTotals, LeavingTarget, LeftTarget, TargetIdHash,
     TargetRecord,
 };
+use work::{OfferRequest, OfferResponse, PlacementNotice, WorkReport};
 
 /// Largest heartbeat datagram, in bytes. It stays below the usual packet size.
 pub(crate) const MAX_HEARTBEAT_BYTES: usize = 1_400;
@@ -98,6 +99,15 @@
     OriginResponse(OriginResponse),
     ColdRequest(ColdRequest),
     ColdResponse(ColdResponse),
+    // Names on the wire are short from here on, as these messages are sent for each request.
+    #[serde(rename = "ask")]
+    OfferRequest(OfferRequest),
+    #[serde(rename = "bid")]
+    OfferResponse(OfferResponse),
+    #[serde(rename = "put")]
+    PlacementNotice(PlacementNotice),
+    #[serde(rename = "saw")]
+    WorkReport(WorkReport),
 }
 
 /// Asks a holder which software version began a stream.
