rate, gateway: an entry written after a domain was taken back ends the cold time

Cause: the limiter kept the longest cold time, so that such an entry had no effect. Change: ColdTargets alone decides until when a target is cold; the limiter takes its last word.

--- a/crates/gateway/src/cold.rs
+++ b/crates/gateway/src/cold.rs
@@ -110,9 +110,11 @@
         return;
     };
     let until = context.cold().targets.cold_until(&entry.id, spec.start_ms);
-    if until <= now {
+    // A later entry may say that a target of a domain that was taken back is not cold.
+    if until <= now && !context.limits().is_cold(key, now) {
         return;
     }
+    let until = until.max(now);
     let limit = ColdLimit { per_second: spec.per_second as f32, until };
     let begins = context.limits().set_cold(key, Some(limit), now);
     if !context.limits().needs_cold_permit(key) {
--- a/crates/rate/src/cold_permits.rs
+++ b/crates/rate/src/cold_permits.rs
@@ -124,16 +124,14 @@
         self
     }
 
-    /// Records that a target is cold, or was so before its rate grew; `None` if it is not. A cold
-    /// time that is known is never shortened. Returns whether it begins now.
+    /// Records until when a target is cold, which replaces what was known; `None` if it needs no
+    /// permits for that. Returns whether its cold time begins now.
     pub fn set_cold(&mut self, key: RateKey, limit: Option<ColdLimit>, now: Millis) -> bool {
         let Some(limit) = limit.filter(|_| self.cold.bounds.is_some()) else {
             self.cold.targets.remove(&key);
             return false;
         };
         let known = self.cold.targets.get(&key).map(|target| target.limit.until);
-        let until = limit.until.max(known.unwrap_or_default());
-        let limit = ColdLimit { until, ..limit };
         let target = self.cold.targets.entry(key).or_insert_with(|| ColdTarget {
             limit,
             unused: VecDeque::new(),
@@ -155,6 +153,11 @@
         !self.cold.is_empty()
     }
 
+    /// Whether a target is cold.
+    pub fn is_cold(&self, key: RateKey, now: Millis) -> bool {
+        self.cold.limit(key, now).is_some()
+    }
+
     /// Returns the number of targets that are cold.
     pub fn cold_targets(&self, now: Millis) -> usize {
         self.cold.targets.values().filter(|target| now < target.limit.until).count()
