--- a/crates/gateway/src/beats.rs
+++ b/crates/gateway/src/beats.rs
@@ -8,20 +8,17 @@
 
 use base::{Millis, Name};
 use cadence::prelude::*;
-use http::Method;
-use hyper::body::Bytes;
 use mesh::{
     Heartbeat, HeartbeatHeader, HeartbeatOutcome, PeerAddresses, ReportRequest, SourceNotice,
     SourceView,
 };
-use outbound::FetchClient;
 use quarantine::QuarantineNotice;
 use rate::LimitNotice;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
 use crate::answers::merge_leaving;
-use crate::cold::{answer_cold_request, fill_in_cold, handle_cold_response};
+use crate::cold::{answer_cold_request, handle_cold_response};
 use crate::configuration::{follow_configuration, record_version};
 use crate::context::GatewayContext;
 use crate::crashes::log_events;
@@ -29,24 +26,20 @@
     ask_for_reports, forget_announcements, is_reported, record_demand, record_load, record_members,
     send_report,
 };
+use crate::fetch::{PeerFetch, fetch_from_peers};
 use crate::messages::{
-    CHANGES_PATH, ChangesRequest, ConfigurationNotice, HeartbeatNotice, HeartbeatPayload,
-    LeavingNotice, MAX_CHANGES_BYTES, MAX_HEARTBEAT_BYTES, NO_RECORDS, PeerChanges, PeerDatagram,
-    PeerMessage, RouterCondition, append_part, decode_changes, decode_heartbeat,
+    ConfigurationNotice, HeartbeatNotice, HeartbeatPayload, LeavingNotice, MAX_HEARTBEAT_BYTES,
+    NO_RECORDS, PeerDatagram, PeerMessage, RouterCondition, append_part, decode_heartbeat,
     decode_peer_message, is_peer_message,
 };
 use crate::offers::{
     answer_offer_request, handle_offer_response, record_placement, record_report, send_reports,
 };
 use crate::permits::{answer_permit_request, handle_permit_response, merge_limits, update_fleet};
-use crate::platform::SourceUpdate;
 use crate::streams::{
     answer_origin_request, handle_origin_response, record_streams, update_holders, watch_streams,
 };
-use crate::view::{UpdateOrigin, apply_peer_domains, apply_update, record_left_targets};
 
-/// Time limit for fetching changes from a peer.
-const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Part of the interval of heartbeats that is the least time between two rounds.
 const MIN_PAUSE_PART: u32 = 10;
 /// Rounds of heartbeats in which urgent news goes to all routers, as datagrams may be lost.
@@ -55,13 +48,6 @@
 /// after the source was restored. Each of them may have started just before.
 pub(crate) const ALL_FETCHES: usize = 3;
 
-/// A fetch of the changes after a revision.
-#[derive(Clone, Copy, Debug)]
-struct PeerFetch {
-    peer: SocketAddr,
-    after: u64,
-}
-
 /// Starts the tasks that send and receive heartbeats until the process stops.
 ///
 /// # Errors
@@ -450,55 +436,3 @@
     }
     outcome
 }
-
-/// Fetches changes from peers with a newer revision, one at a time.
-async fn fetch_from_peers(
-    context: Arc<GatewayContext>,
-    mut fetch_receiver: mpsc::Receiver<PeerFetch>,
-) {
-    while let Some(fetch) = fetch_receiver.recv().await {
-        if let Err(cause) = fetch_changes(&context, fetch).await {
-            let peer = fetch.peer;
-            tracing::info!(unit = "beats", event = "changes_not_fetched", %peer, cause = format!("{cause:#}"));
-        }
-    }
-}
-
-async fn fetch_changes(context: &GatewayContext, fetch: PeerFetch) -> anyhow::Result<()> {
-    let PeerFetch { peer, after } = fetch;
-    let request = rmp_serde::to_vec(&ChangesRequest::of_targets(after))?;
-    let mut client = FetchClient::new(peer, MAX_CHANGES_BYTES);
-    let body = Bytes::from(request);
-    let response = client.fetch(Method::POST, CHANGES_PATH, body, PEER_TIMEOUT).await?;
-    let status = response.status();
-    anyhow::ensure!(status.is_success(), "step=fetch_changes peer={peer}: status {status}");
-    let PeerChanges { response, notice, configuration, versions, domains, cold, moves } =
-        decode_changes(response.body())?;
-    // Recorded before the revision, from which this router may read the source next.
-    record_version(context, peer, configuration.version);
-    let now = context.now();
-    if let Some(age) = response.source_recovery_age {
-        context.targets().record_peer_recovery(age, now);
-    }
-    // Applied before the targets and the revision, so that no target is used in spite of one.
-    if let Some(listing) = domains {
-        apply_peer_domains(context, listing);
-    }
-    // A response without records is not complete up to its revision.
-    let revision = if after == NO_RECORDS { 0 } else { response.revision };
-    let update = SourceUpdate {
-        revision,
-        table: response.table,
-        records: response.records,
-        ..SourceUpdate::default()
-    };
-    fill_in_cold(context, cold.version, cold.services);
-    apply_update(context, update, UpdateOrigin::Peer);
-    {
-        let mut resumes = context.resumes();
-        resumes.merge_versions(versions, now);
-        resumes.merge_moves(moves, now);
-    }
-    record_left_targets(context, notice.left);
-    Ok(())
-}
--- /dev/null
+++ b/crates/gateway/src/fetch.rs
@@ -0,0 +1,81 @@
+//! Fetches the changes that peers have and this router lacks.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Method;
+use hyper::body::Bytes;
+use outbound::FetchClient;
+use tokio::sync::mpsc;
+
+use crate::cold::fill_in_cold;
+use crate::configuration::record_version;
+use crate::context::GatewayContext;
+use crate::messages::{
+    CHANGES_PATH, ChangesRequest, MAX_CHANGES_BYTES, NO_RECORDS, PeerChanges, decode_changes,
+};
+use crate::platform::SourceUpdate;
+use crate::view::{UpdateOrigin, apply_peer_domains, apply_update, record_left_targets};
+
+/// Time limit for fetching changes from a peer.
+const PEER_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// A fetch of the changes after a revision.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PeerFetch {
+    pub(crate) peer: SocketAddr,
+    pub(crate) after: u64,
+}
+
+/// Fetches changes from peers with a newer revision, one at a time.
+pub(crate) async fn fetch_from_peers(
+    context: Arc<GatewayContext>,
+    mut fetch_receiver: mpsc::Receiver<PeerFetch>,
+) {
+    while let Some(fetch) = fetch_receiver.recv().await {
+        if let Err(cause) = fetch_changes(&context, fetch).await {
+            let peer = fetch.peer;
+            tracing::info!(unit = "beats", event = "changes_not_fetched", %peer, cause = format!("{cause:#}"));
+        }
+    }
+}
+
+async fn fetch_changes(context: &GatewayContext, fetch: PeerFetch) -> anyhow::Result<()> {
+    let PeerFetch { peer, after } = fetch;
+    let request = rmp_serde::to_vec(&ChangesRequest::of_targets(after))?;
+    let mut client = FetchClient::new(peer, MAX_CHANGES_BYTES);
+    let body = Bytes::from(request);
+    let response = client.fetch(Method::POST, CHANGES_PATH, body, PEER_TIMEOUT).await?;
+    let status = response.status();
+    anyhow::ensure!(status.is_success(), "step=fetch_changes peer={peer}: status {status}");
+    let PeerChanges { response, notice, configuration, versions, domains, cold, moves } =
+        decode_changes(response.body())?;
+    // Recorded before the revision, from which this router may read the source next.
+    record_version(context, peer, configuration.version);
+    let now = context.now();
+    if let Some(age) = response.source_recovery_age {
+        context.targets().record_peer_recovery(age, now);
+    }
+    // Applied before the targets and the revision, so that no target is used in spite of one.
+    if let Some(listing) = domains {
+        apply_peer_domains(context, listing);
+    }
+    // A response without records is not complete up to its revision.
+    let revision = if after == NO_RECORDS { 0 } else { response.revision };
+    let update = SourceUpdate {
+        revision,
+        table: response.table,
+        records: response.records,
+        ..SourceUpdate::default()
+    };
+    fill_in_cold(context, cold.version, cold.services);
+    apply_update(context, update, UpdateOrigin::Peer);
+    {
+        let mut resumes = context.resumes();
+        resumes.merge_versions(versions, now);
+        resumes.merge_moves(moves, now);
+    }
+    record_left_targets(context, notice.left);
+    Ok(())
+}
