--- a/crates/target/src/selection.rs
+++ b/crates/target/src/selection.rs
@@ -68,11 +68,11 @@
 #[serde(rename_all = "lowercase")]
 pub enum PlacementMode {
     /// The work owners of targets, for services whose targets report how long work takes.
-    #[default]
     Auto,
     /// The work owners of targets.
     Ledger,
     /// The estimate of each router.
+    #[default]
     Local,
 }
 
@@ -122,7 +122,7 @@
             home_tokens: 2_000,
             most_homes: 3,
             crossing_ms: 3.0,
-            placement: PlacementMode::Auto,
+            placement: PlacementMode::Local,
         }
     }
 }
