--- a/review/fleet-2.rs
+++ b/review/fleet-2.rs
@@ -11,7 +11,7 @@
 use std::panic::{UnwindSafe, catch_unwind};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -487,9 +487,22 @@
     )
 }
 
+/// The same with a service of model engines, whose requests tell the parts of their prompts.
+pub fn engine_config(version: u64, routes: &[Route]) -> String {
+    let engine =
+        "\"maxConnections\":310,\"engine\":{\"slots\":48,\"kvCapacityTokens\":444000,\"stride\":8}";
+    let text = config(version, routes).replace("\"maxConnections\":310", engine);
+    text.replace("\"sticky\":false", "\"sticky\":true")
+}
+
+/// Returns the entry of a replica of version `v1`.
 pub fn entry(address: SocketAddr, state: &str, born: u64) -> String {
+    entry_of_version(address, state, born, "v1")
+}
+
+pub fn entry_of_version(address: SocketAddr, state: &str, born: u64, version: &str) -> String {
     format!(
-        "{{\"service\":\"app\",\"address\":\"{address}\",\"zone\":\"bell-bay\",\"version\":\"v1\",\"slots\":48,\"state\":\"{state}\",\"coldLeftMs\":0,\"sequence\":1,\"born\":{born}}}"
+        "{{\"service\":\"app\",\"address\":\"{address}\",\"zone\":\"bell-bay\",\"version\":\"{version}\",\"slots\":48,\"state\":\"{state}\",\"coldLeftMs\":0,\"sequence\":1,\"born\":{born}}}"
     )
 }
 
@@ -793,3 +806,80 @@
     let chunk = format!("{:x}\r\n{event}\r\n", event.len());
     stream.write_all(chunk.as_bytes()).is_ok()
 }
+
+// ---- replicas that start again after a crash ----
+
+/// What a replica process did.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReplicaEvent<'a> {
+    /// It wrote this line.
+    Line(&'a str),
+    Crashed,
+}
+
+/// A replica that starts again some time after each crash, under its id and at its address. Its
+/// entry in the store then has a new time of its start.
+pub struct CrashingReplica {
+    current: Arc<Mutex<Option<ReplicaProcess>>>,
+    /// When its process started last, in Unix milliseconds.
+    born: Arc<AtomicU64>,
+    is_over: Arc<AtomicBool>,
+}
+
+impl CrashingReplica {
+    /// Starts a replica of a software version, which is down for `down` after each crash.
+    pub fn start(
+        id: String,
+        version: &'static str,
+        store: Store,
+        down: Duration,
+        hear: impl Fn(ReplicaEvent<'_>) + Send + Sync + 'static,
+    ) -> Self {
+        let current: Arc<Mutex<Option<ReplicaProcess>>> = Arc::default();
+        let is_over: Arc<AtomicBool> = Arc::default();
+        let port = free_port(IpAddr::V4(Ipv4Addr::LOCALHOST));
+        let hear = Arc::new(hear);
+        let born: Arc<AtomicU64> = Arc::default();
+        let (holder, start, over) = (Arc::clone(&current), Arc::clone(&born), Arc::clone(&is_over));
+        thread::spawn(move || {
+            while !over.load(Ordering::SeqCst) {
+                let (ended, end) = std::sync::mpsc::channel();
+                let listener = Arc::clone(&hear);
+                let process = ReplicaProcess::start(&id, port, move |line| match line {
+                    Some(line) => listener(ReplicaEvent::Line(line)),
+                    None => drop(ended.send(())),
+                });
+                start.store(unix_ms(), Ordering::SeqCst);
+                let born = start.load(Ordering::SeqCst);
+                let text = entry_of_version(process.address, "ready", born, version);
+                store.put(&format!("servers/{id}"), &text);
+                *holder.lock().unwrap_or_else(PoisonError::into_inner) = Some(process);
+                let _ = end.recv();
+                let ended = holder.lock().unwrap_or_else(PoisonError::into_inner).take();
+                drop(ended);
+                if !over.load(Ordering::SeqCst) {
+                    hear(ReplicaEvent::Crashed);
+                    thread::sleep(down);
+                }
+            }
+        });
+        Self { current, born, is_over }
+    }
+
+    /// Returns its address; `None` while it is down.
+    pub fn address(&self) -> Option<SocketAddr> {
+        let current = self.current.lock().unwrap_or_else(PoisonError::into_inner);
+        current.as_ref().map(|process| process.address)
+    }
+
+    pub fn born(&self) -> u64 {
+        self.born.load(Ordering::SeqCst)
+    }
+}
+
+impl Drop for CrashingReplica {
+    fn drop(&mut self) {
+        self.is_over.store(true, Ordering::SeqCst);
+        drop(self.current.lock().unwrap_or_else(PoisonError::into_inner).take());
+    }
+}
