--- a/review/fleet-2.rs
+++ b/review/fleet-2.rs
@@ -651,13 +651,13 @@
 
     pub fn wait_exit(&mut self, timeout: Duration) -> bool {
         let until = Instant::now() + timeout;
-        while Instant::now() < until {
-            if self.child.try_wait().ok().flatten().is_some() {
-                return true;
+        while self.is_running() {
+            if Instant::now() >= until {
+                return false;
             }
             thread::sleep(Duration::from_millis(5));
         }
-        false
+        true
     }
 
     pub fn is_running(&mut self) -> bool {
