--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -1,90 +1,103 @@
-//! A client takes its answer slowly while the gateway is stopped by SIGTERM.
+//! Gateways that get SIGTERM some milliseconds after their start.
 
 #[path = "../fleet-2.rs"]
 mod fleet;
 
+use std::collections::BTreeSet;
 use std::io::Write;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use fleet::*;
 
-/// Length of the answer, and the bytes a second that the client reads: it takes 5 s.
-const ANSWER_BYTES: usize = 100_000;
-const READ_PER_S: f64 = 20_000.0;
-/// Receive buffer of the client: links have small windows.
-const WINDOW_BYTES: i32 = 4_096;
-/// Deadline of the request, and time limit of its route.
-const DEADLINE_MS: u64 = 10_000;
-/// Time between the request and SIGTERM.
-const SENT_BEFORE: Duration = Duration::from_millis(300);
+/// Milliseconds between the start of each gateway and its SIGTERM.
+const TERM_AFTER_MS: [u64; 6] = [4, 8, 12, 16, 20, 24];
+/// The same without the disruption: the gateway has started by then.
+const STARTED_MS: u64 = 500;
+/// Time between two gateways.
+const GAP: Duration = Duration::from_secs(1);
+/// When a client sends its request, after the SIGTERM, and the time that the replica takes.
+const SENT_AFTER: Duration = Duration::from_millis(6_500);
+const WORK: Duration = Duration::from_millis(2_500);
+const ZONES: [&str; 3] = ["bell-bay", "george-town", "launceston-dc"];
+
+/// Sends a request to a gateway some time after its SIGTERM.
+fn ask(gateway: &Gateway, signalled: Instant) -> thread::JoinHandle<(String, Answer)> {
+    let (callers, id) = (gateway.callers, format!("r-{}", gateway.name));
+    thread::spawn(move || {
+        thread::sleep((signalled + SENT_AFTER).saturating_duration_since(Instant::now()));
+        note(&format!("client {id}: sends"));
+        let answer = call(callers, &request_bytes("POST", "/once/x", &id, 8_000, "", b"{}"));
+        note(&format!("client {id}: status {} complete {}", answer.status(), answer.complete));
+        (id, answer)
+    })
+}
 
 fn run() -> bool {
     let folder = Folder::new();
-    let replica = start_replica(|request, stream| {
-        let length = if request.head.path().ends_with("/whole") { ANSWER_BYTES } else { 2 };
-        note(&format!("replica runs {}", request.head.id()));
-        let head = replica_head(request, 200) + &format!("Content-Length: {length}\r\n\r\n");
-        let is_taken = stream.write_all(&[head.as_bytes(), &vec![b'x'; length]].concat()).is_ok();
-        note(&format!("replica has answered {}: {is_taken}", request.head.id()));
-        is_taken
+    let ran: Arc<Mutex<BTreeSet<String>>> = Arc::default();
+    let running = Arc::clone(&ran);
+    let replica = start_replica(move |request, stream| {
+        let id = request.head.id().to_owned();
+        note(&format!("replica runs {id}"));
+        running.lock().unwrap_or_else(PoisonError::into_inner).insert(id);
+        thread::sleep(WORK);
+        let head = replica_head(request, 200) + "Content-Length: 2\r\n\r\nok";
+        stream.write_all(head.as_bytes()).is_ok()
     });
     let store = Store::start();
-    let route =
-        |name, kind| Route { name, kind, attempts: 1, resumable: false, timeout_ms: DEADLINE_MS };
-    store.put(
-        "op/config",
-        &config(1, &[route("safe", "idempotent"), route("once", "non_idempotent")]),
-    );
+    let once = Route {
+        name: "once",
+        kind: "non_idempotent",
+        attempts: 1,
+        resumable: false,
+        timeout_ms: 8_000,
+    };
+    store.put("op/config", &config(1, &[once]));
     store.put("servers/i-0", &entry(replica, "ready", 1));
     let beats_port = free_port("127.0.0.1".parse().unwrap());
-    let plan = GatewayPlan {
-        index: 0,
-        zone: "bell-bay",
-        beats_port,
-        memory_mb: 260,
-        store: store.address,
-    };
-    let mut gateway = Gateway::start(&folder, plan);
-    gateway.wait_served("/safe/warm");
-    let Ok(mut client) = connect(gateway.callers, Some(WINDOW_BYTES)) else {
-        cannot_run("no connection")
-    };
-    let _ = client.set_read_timeout(Some(Duration::from_secs(10)));
-    let request = request_bytes("POST", "/once/whole", "r-slow", DEADLINE_MS, "", b"{}");
-    if client.write_all(&request).is_err() {
-        cannot_run("the request is not sent");
-    }
-    note("client r-slow: sent");
-    let sent = Instant::now();
-    let reading = thread::spawn(move || {
-        let answer = read_answer(&mut client, |bytes| {
-            let due = Duration::from_secs_f64(bytes as f64 / READ_PER_S);
-            thread::sleep(due.saturating_sub(sent.elapsed()));
-        });
-        (answer, sent.elapsed())
-    });
-    thread::sleep(SENT_BEFORE);
-    let mut exit = "not stopped".to_owned();
-    if has_trouble() {
+    let mut stops = Vec::new();
+    for (index, after_ms) in TERM_AFTER_MS.into_iter().enumerate() {
+        let plan = GatewayPlan {
+            index,
+            zone: ZONES[index % 3],
+            beats_port,
+            memory_mb: 260,
+            store: store.address,
+        };
+        let mut gateway = Gateway::start(&folder, plan);
+        thread::sleep(Duration::from_millis(if has_trouble() { after_ms } else { STARTED_MS }));
         gateway.signal(SIGTERM);
-        note("SIGTERM to the gateway");
         let signalled = Instant::now();
-        let has_exited = gateway.wait_exit(Duration::from_secs(GRACE_S));
-        let after = signalled.elapsed().as_millis();
-        exit = format!("exited {has_exited} {after} ms after SIGTERM");
-        note(&format!("the gateway {exit}"));
+        note(&format!("SIGTERM to {}", gateway.name));
+        // A signal before the program runs ends the process at once.
+        let has_ended = gateway.wait_exit(Duration::from_millis(100));
+        note(&format!("{} has ended: {has_ended}", gateway.name));
+        let client = ask(&gateway, signalled);
+        stops.push((gateway, signalled, client));
+        thread::sleep(GAP.saturating_sub(signalled.elapsed()));
     }
-    let Ok((answer, took)) = reading.join() else { cannot_run("the client ended") };
-    let (status, bytes, took) = (answer.status(), answer.body.len(), took.as_millis());
-    let end = if answer.complete { "whole" } else { "cut" };
-    let text = format!(
-        "status {status}, {bytes} of {ANSWER_BYTES} bytes after {took} ms, {end}; gateway {exit}"
-    );
-    if !has_trouble() && !answer.complete {
-        cannot_run(&text);
+    let (mut ignored, mut lost) = (0, 0);
+    for (mut gateway, signalled, client) in stops {
+        let kill_at = signalled + Duration::from_secs(GRACE_S);
+        if !gateway.wait_exit(kill_at.saturating_duration_since(Instant::now())) {
+            ignored += 1;
+            let (name, is_ready) = (&gateway.name, gateway.is_ready());
+            note(&format!("{name} runs {GRACE_S} s after SIGTERM, ready {is_ready}: SIGKILL"));
+            gateway.signal(SIGKILL);
+        }
+        let Ok((id, answer)) = client.join() else { cannot_run("a client ended") };
+        let has_run = ran.lock().unwrap_or_else(PoisonError::into_inner).contains(&id);
+        lost += u32::from(has_run && !answer.complete);
     }
-    verdict(!answer.complete, &text)
+    verdict(
+        lost > 0,
+        &format!(
+            "{ignored} of {} gateways ignored SIGTERM, {lost} requests that ran were not answered",
+            TERM_AFTER_MS.len()
+        ),
+    )
 }
 
 fn main() {
