review: the stand-ins lose what no case uses

Cause: parts of the shared stand-ins served only the cases that were dropped. Change: removed; the cases are as they were.

--- a/review/fleet-2.rs
+++ b/review/fleet-2.rs
@@ -6,7 +6,6 @@
 use std::fs::File;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::os::fd::AsRawFd;
 use std::os::unix::process::CommandExt;
 use std::panic::{UnwindSafe, catch_unwind};
 use std::path::{Path, PathBuf};
@@ -16,16 +15,13 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
-pub const SIGSTOP: i32 = 19;
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
     fn prctl(option: i32, value: u64) -> i32;
-    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
 }
 
 /// `graceS` of the deployments under sites/.
@@ -108,9 +104,6 @@
     pub fn path(&self) -> &str {
         self.first.split(' ').nth(1).unwrap_or("")
     }
-    pub fn method(&self) -> &str {
-        self.first.split(' ').next().unwrap_or("")
-    }
     pub fn status(&self) -> u16 {
         self.first.split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0)
     }
@@ -187,8 +180,8 @@
     }
 }
 
-/// Reads chunks or a body with a length; `pace` is called with the number of bytes read so far.
-pub fn read_answer(stream: &mut TcpStream, mut pace: impl FnMut(usize)) -> Answer {
+/// Reads an answer whose body has a length or chunks, or ends with its connection.
+pub fn read_answer(stream: &mut TcpStream) -> Answer {
     let mut buffer = Vec::new();
     let Some(head) = read_head(stream, &mut buffer) else { return Answer::default() };
     let chunked = head.get("transfer-encoding").is_some_and(|value| value.contains("chunked"));
@@ -206,7 +199,6 @@
                 return Answer { head, body, complete: true };
             }
         }
-        pace(raw.len());
         match stream.read(&mut part) {
             Ok(0) | Err(_) => {
                 let complete = length.is_none() && !chunked;
@@ -262,28 +254,17 @@
     [bytes.as_bytes(), body].concat()
 }
 
-/// Connects as a client; `window` is the size of its receive buffer.
-pub fn connect(address: SocketAddr, window: Option<i32>) -> std::io::Result<TcpStream> {
-    let Some(window) = window else {
-        return TcpStream::connect_timeout(&address, Duration::from_secs(1));
-    };
-    let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
-    set_receive_buffer(stream.as_raw_fd(), window);
-    Ok(stream)
-}
-
-pub fn set_receive_buffer(socket: i32, bytes: i32) {
-    // SOL_SOCKET and SO_RCVBUF on Linux.
-    unsafe { setsockopt(socket, 1, 8, &bytes, 4) };
+pub fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
+    TcpStream::connect_timeout(&address, Duration::from_secs(1))
 }
 
 pub fn call(address: SocketAddr, bytes: &[u8]) -> Answer {
-    let Ok(mut stream) = connect(address, None) else { return Answer::default() };
+    let Ok(mut stream) = connect(address) else { return Answer::default() };
     let _ = stream.set_read_timeout(Some(Duration::from_secs(15)));
     if stream.write_all(bytes).is_err() {
         return Answer::default();
     }
-    read_answer(&mut stream, |_| {})
+    read_answer(&mut stream)
 }
 
 // ---- the platform's store ----
@@ -300,8 +281,6 @@
     revision: u64,
     items: BTreeMap<String, Item>,
     events: Vec<(u64, String, Option<String>)>,
-    down: bool,
-    era: u64,
 }
 
 /// Stand-in for the platform's store, as PROTOCOL.md tells it.
@@ -372,22 +351,12 @@
         self.state.1.notify_all();
     }
 
-    /// While it is down, the store closes every connection without an answer.
-    pub fn set_down(&self, down: bool) {
-        self.lock().down = down;
-        self.state.1.notify_all();
-    }
-
     fn serve(&self, mut stream: TcpStream) {
         let mut buffer = Vec::new();
         while let Some(request) = read_request(&mut stream, &mut buffer) {
             let (status, body) = self.answer(request.head.path());
-            if status == 0 {
-                return;
-            }
-            let era = self.lock().era;
             let head = format!(
-                "HTTP/1.1 {status} -\r\nContent-Type: application/json\r\nStore-Era: {era}\r\nContent-Length: {}\r\n\r\n",
+                "HTTP/1.1 {status} -\r\nContent-Type: application/json\r\nStore-Era: 0\r\nContent-Length: {}\r\n\r\n",
                 body.len()
             );
             if stream.write_all(&[head.as_bytes(), body.as_bytes()].concat()).is_err() {
@@ -408,9 +377,6 @@
         let prefix = value("pathPrefix").replace("%2F", "/");
         let (mutex, changed) = &*self.state;
         let mut state = mutex.lock().unwrap_or_else(PoisonError::into_inner);
-        if state.down {
-            return (0, String::new());
-        }
         match path {
             "/kv-range" => {
                 let after = value("after").replace("%2F", "/");
@@ -434,9 +400,6 @@
                 let wait = Duration::from_millis(value("waitMs").parse().unwrap_or(0));
                 let until = Instant::now() + wait;
                 loop {
-                    if state.down {
-                        return (0, String::new());
-                    }
                     let events = state
                         .events
                         .iter()
@@ -640,11 +603,6 @@
         command.spawn().unwrap_or_else(|cause| cannot_run(&format!("{program}: {cause}")))
     }
 
-    pub fn restart(&mut self) {
-        self.child = Self::spawn(&self.settings, &self.log);
-        note(&format!("gateway {} started again as process {}", self.name, self.child.id()));
-    }
-
     pub fn signal(&self, signal: i32) {
         send_signal(self.child.id(), signal);
     }
@@ -697,19 +655,6 @@
     pub fn log_text(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
     }
-
-    /// Returns the resident memory and its peak, in kB.
-    pub fn memory_kb(&self) -> (u64, u64) {
-        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))
-            .unwrap_or_default();
-        let value = |name: &str| {
-            text.lines()
-                .find_map(|line| line.strip_prefix(name))
-                .and_then(|rest| rest.split_whitespace().next()?.parse().ok())
-                .unwrap_or(0)
-        };
-        (value("VmRSS:"), value("VmHWM:"))
-    }
 }
 
 impl Drop for Gateway {
@@ -770,11 +715,6 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
-
-    /// Waits until the process has ended.
-    pub fn wait(&mut self) {
-        let _ = self.child.wait();
-    }
 }
 
 impl Drop for ReplicaProcess {
