--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -10,7 +10,8 @@
 use ntex::service::fn_service;
 use tokio::sync::mpsc;
 
-use crate::context::{GatewayContext, OpenConnection};
+use crate::context::GatewayContext;
+use crate::open::OpenConnection;
 use crate::worker::Worker;
 use crate::{pipeline, run};
 
--- a/crates/gateway/src/beats.rs
+++ b/crates/gateway/src/beats.rs
@@ -94,7 +94,8 @@
             }
         }
         for peer in context.members().newly_lost(now) {
-            tracing::info!(unit = "beats", event = "peer_lost", %peer);
+            let was_draining = context.members().is_known_draining(&peer);
+            tracing::info!(unit = "beats", event = "peer_lost", %peer, was_draining);
         }
         update_fleet(&context);
         update_holders(&context);
@@ -393,7 +394,10 @@
     let source = header.source;
     let revision = source.revision;
     let is_draining = header.is_draining;
-    let outcome = context.members().record_heartbeat(header, now);
+    let (was_draining, outcome) = {
+        let mut members = context.members();
+        (members.is_known_draining(&peer), members.record_heartbeat(header, now))
+    };
     match outcome {
         HeartbeatOutcome::Ignored => return outcome,
         HeartbeatOutcome::Joined | HeartbeatOutcome::Restarted => {
@@ -403,6 +407,7 @@
                 %peer,
                 heard = ?outcome,
                 is_draining,
+                was_draining,
             );
             update_fleet(context);
             // Streams may begin before the next heartbeat, and their holders are told first.
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -28,6 +28,7 @@
 use crate::cold::{ColdExchange, ColdState};
 use crate::configuration::EncodedConfiguration;
 use crate::offers::OfferExchange;
+use crate::open::OpenWork;
 use crate::permits::PermitExchange;
 use crate::platform::CallFormat;
 use crate::sampling::LogSampler;
@@ -151,18 +152,18 @@
     pub(crate) heartbeat_now: Notify,
     /// Cancelled shortly before the process exits: requests without a response are answered.
     pub(crate) ending: CancellationToken,
+    /// Cancelled when the process exits: what is open ends without an answer.
+    pub(crate) exiting: CancellationToken,
     /// Cancelled when the process shuts down.
     pub(crate) shutdown: CancellationToken,
     pub(crate) signal_watch: SignalWatch,
     /// Set once the router stops.
     stop_plan: OnceLock<StopPlan>,
     /// Whether all new requests are refused, as the process exits. Read after a request was
-    /// counted in `open_calls`, and set before that is read: either the request is refused, or the
+    /// counted in `open`, and set before that is read: either the request is refused, or the
     /// process does not exit.
     is_closed: AtomicBool,
-    open_calls: AtomicUsize,
-    /// Connections of callers that are accepted and not closed.
-    open_connections: AtomicUsize,
+    pub(crate) open: OpenWork,
     /// Number of live routers, including this one.
     router_count: AtomicUsize,
     /// Number of peers that were asked for all they know since the start.
@@ -183,7 +184,7 @@
     (seconds * 1_000.0) as Millis
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     // A handler that panics while it holds the lock leaves counts that are off
     // by one at most, so a poisoned lock is used as it is.
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -264,12 +265,12 @@
             refusal_log_sampler: Mutex::default(),
             heartbeat_now: Notify::new(),
             ending: CancellationToken::new(),
+            exiting: CancellationToken::new(),
             shutdown: CancellationToken::new(),
             signal_watch: SignalWatch::default(),
             stop_plan: OnceLock::new(),
             is_closed: AtomicBool::new(false),
-            open_calls: AtomicUsize::new(0),
-            open_connections: AtomicUsize::new(0),
+            open: OpenWork::default(),
             router_count: AtomicUsize::new(1),
             start_fetches: AtomicUsize::new(0),
             domain_fetches: AtomicUsize::new(0),
@@ -381,6 +382,11 @@
         self.heartbeat_now.notify_one();
     }
 
+    /// Whether the process exits, whatever is open.
+    pub(crate) fn is_exiting(&self) -> bool {
+        self.exiting.is_cancelled()
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
         self.stop_plan.get().is_some()
     }
@@ -435,44 +441,10 @@
     }
 
     pub(crate) fn open_calls(&self) -> usize {
-        self.open_calls.load(Ordering::SeqCst)
+        self.open.calls()
     }
 
     pub(crate) fn open_connections(&self) -> usize {
-        self.open_connections.load(Ordering::Relaxed)
-    }
-}
-
-/// Counts a request as open until the guard is dropped.
-#[derive(Debug)]
-pub(crate) struct OpenCall(Arc<GatewayContext>);
-
-impl OpenCall {
-    pub(crate) fn new(context: &Arc<GatewayContext>) -> Self {
-        context.open_calls.fetch_add(1, Ordering::SeqCst);
-        Self(Arc::clone(context))
-    }
-}
-
-impl Drop for OpenCall {
-    fn drop(&mut self) {
-        self.0.open_calls.fetch_sub(1, Ordering::SeqCst);
-    }
-}
-
-/// Counts a caller's connection as open until the guard is dropped.
-#[derive(Debug)]
-pub(crate) struct OpenConnection(Arc<GatewayContext>);
-
-impl OpenConnection {
-    pub(crate) fn new(context: &Arc<GatewayContext>) -> Self {
-        context.open_connections.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(context))
-    }
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.0.open_connections.fetch_sub(1, Ordering::Relaxed);
+        self.open.connections()
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod held;
 mod messages;
 mod offers;
+mod open;
 mod parts;
 mod permits;
 mod pipeline;
--- /dev/null
+++ b/crates/gateway/src/open.rs
@@ -0,0 +1,108 @@
+//! Requests and connections of callers that are open.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+
+use base::{Millis, Name};
+use slotmap::{SlotMap, new_key_type};
+
+use crate::context::{GatewayContext, lock};
+
+new_key_type! {
+    /// Identifies a request that has not been reported.
+    struct ReportKey;
+}
+
+/// What is open in the process.
+#[derive(Debug, Default)]
+pub(crate) struct OpenWork {
+    calls: AtomicUsize,
+    /// Requests that have not been reported, each with its start.
+    reports: Mutex<SlotMap<ReportKey, (Name, Millis)>>,
+    /// Connections of callers with bytes that are not written, as of the last check of a drain.
+    unwritten: AtomicUsize,
+    /// Connections of callers that are accepted and not closed.
+    connections: AtomicUsize,
+}
+
+impl OpenWork {
+    pub(crate) fn calls(&self) -> usize {
+        self.calls.load(Ordering::SeqCst)
+    }
+
+    pub(crate) fn connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
+
+    /// Returns how many requests have not been reported.
+    pub(crate) fn unreported_calls(&self) -> usize {
+        lock(&self.reports).len()
+    }
+
+    /// Returns the oldest request that has not been reported, with its start.
+    pub(crate) fn oldest_call(&self) -> Option<(Name, Millis)> {
+        lock(&self.reports).values().min_by_key(|(_, started_at)| *started_at).cloned()
+    }
+
+    pub(crate) fn unwritten_connections(&self) -> usize {
+        self.unwritten.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn set_unwritten_connections(&self, count: usize) {
+        self.unwritten.store(count, Ordering::Relaxed);
+    }
+}
+
+/// Counts a request as open until the guard is dropped.
+#[derive(Debug)]
+pub(crate) struct OpenCall(Arc<GatewayContext>);
+
+impl OpenCall {
+    pub(crate) fn new(context: &Arc<GatewayContext>) -> Self {
+        context.open.calls.fetch_add(1, Ordering::SeqCst);
+        Self(Arc::clone(context))
+    }
+}
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        self.0.open.calls.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// Lists a request as not reported until the guard is dropped.
+#[derive(Debug)]
+pub(crate) struct ReportEntry {
+    context: Arc<GatewayContext>,
+    key: ReportKey,
+}
+
+impl ReportEntry {
+    pub(crate) fn new(context: &Arc<GatewayContext>, request: Name, started_at: Millis) -> Self {
+        let key = lock(&context.open.reports).insert((request, started_at));
+        Self { context: Arc::clone(context), key }
+    }
+}
+
+impl Drop for ReportEntry {
+    fn drop(&mut self) {
+        lock(&self.context.open.reports).remove(self.key);
+    }
+}
+
+/// Counts a caller's connection as open until the guard is dropped.
+#[derive(Debug)]
+pub(crate) struct OpenConnection(Arc<GatewayContext>);
+
+impl OpenConnection {
+    pub(crate) fn new(context: &Arc<GatewayContext>) -> Self {
+        context.open.connections.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(context))
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.open.connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -21,7 +21,7 @@
 use crate::reader::{ReadFailure, ResponseReader};
 use crate::refusal::{Refusal, RefusalCause};
 use crate::relay::{BufferedBody, OpenStream, RelayBody, StreamRelay};
-use crate::report::{CallEnd, CallReport};
+use crate::report::CallReport;
 use crate::send::{Attempts, send};
 use crate::share;
 use crate::streams::find_taken_up;
@@ -62,7 +62,8 @@
     let connection = connection.flatten();
     let caller = request.peer_addr().map(|address| address.ip());
     let received = ReceivedCall::read(context, &mut request);
-    let mut report = CallReport::new(context, received.id(), caller, received.received_at);
+    let mut report =
+        CallReport::new(context, received.id(), caller, request.io(), received.received_at);
     let id = received.metadata.id.clone();
     let refuse = |report: &mut CallReport, refusal: Refusal| {
         report.finish_refused(&refusal);
@@ -164,7 +165,6 @@
     let mut response = match ready {
         ReadyResponse::Whole(head, bytes) => {
             report.record_first_byte(head.status.as_u16());
-            report.finish(CallEnd::Answered, "complete");
             if let Some(connection) = &connection {
                 connection.set_deadline(deadline);
             }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -78,8 +78,10 @@
             Self::Whole(bytes) => Poll::Ready(Some(Ok(std::mem::take(bytes)))),
             Self::Buffered(body) => {
                 let part = body.next_part();
-                if body.bytes.is_empty() {
-                    *self = Self::Whole(Bytes::new());
+                if body.bytes.is_empty()
+                    && let Self::Buffered(body) = std::mem::replace(self, Self::Whole(Bytes::new()))
+                {
+                    body.end();
                 }
                 Poll::Ready(part.map(Ok))
             }
@@ -97,8 +99,8 @@
 pub(crate) struct BufferedBody {
     bytes: hyper::body::Bytes,
     _held: HeldBody,
-    _connection: Option<BusyConnection>,
-    _report: CallReport,
+    connection: Option<BusyConnection>,
+    report: CallReport,
 }
 
 impl BufferedBody {
@@ -106,14 +108,21 @@
         bytes: hyper::body::Bytes,
         mut held: HeldBody,
         connection: Option<BusyConnection>,
-        report: CallReport,
+        mut report: CallReport,
     ) -> Self {
         held.free_bytes();
-        Self { bytes, _held: held, _connection: connection, _report: report }
+        report.record_kept(bytes.len());
+        Self { bytes, _held: held, connection, report }
+    }
+
+    /// Ends the request, whose last part is handed over.
+    fn end(self) {
+        self.report.hand_over(self.connection);
     }
 
     fn next_part(&mut self) -> Option<Bytes> {
         let part = self.bytes.split_to(self.bytes.len().min(PART_BYTES));
+        self.report.record_kept(self.bytes.len());
         (!part.is_empty()).then(|| Bytes::copy_from_slice(&part))
     }
 }
@@ -248,7 +257,10 @@
             let mut relay = relay?;
             match relay.next().await {
                 Ok(Some(bytes)) => Some((Ok(bytes), Some(relay))),
-                Ok(None) => None,
+                Ok(None) => {
+                    relay.report.hand_over(relay.connection);
+                    None
+                }
                 Err(cause) => {
                     // ntex would write an error response into the incomplete
                     // one, so the connection is closed instead.
@@ -264,11 +276,7 @@
     }
 
     async fn next(&mut self) -> Result<Option<Bytes>, RelayError> {
-        let part = self.next_part().await?;
-        if part.is_none() {
-            self.report.finish(CallEnd::Answered, "complete");
-        }
-        Ok(part.map(Bytes::from))
+        Ok(self.next_part().await?.map(Bytes::from))
     }
 
     /// Returns the next bytes that are passed on.
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -6,12 +6,15 @@
 use admit::ShareVerdict;
 use base::{Millis, Name};
 use cadence::prelude::*;
+use inbound::{AnswerEnd, BusyConnection, HandedAnswer, unwritten_bytes};
+use ntex::io::IoRef;
 use outbound::BodyFraming;
 use sse::EventTrace;
 use target::FullCounts;
 
 use crate::call::{AdmittedCall, RoutedCall};
-use crate::context::{GatewayContext, OpenCall};
+use crate::context::GatewayContext;
+use crate::open::{OpenCall, ReportEntry};
 use crate::platform::NamedLimit;
 use crate::refusal::{Refusal, RefusalCause};
 use crate::select::SelectionEstimate;
@@ -24,7 +27,7 @@
     Refused,
     /// The target broke off a stream, and it could not be resumed.
     Broken,
-    /// The request timed out while the response was being relayed.
+    /// The request timed out while the response was being relayed, or the process exits.
     Cut,
     /// The caller disconnected before the end.
     Left,
@@ -34,8 +37,14 @@
 #[derive(Debug)]
 pub(crate) struct CallReport {
     context: Arc<GatewayContext>,
+    /// Connection of the caller.
+    io: Option<IoRef>,
     started_at: Millis,
     first_byte_at: Option<Millis>,
+    /// When the last part of the response was handed over to the connection.
+    handed_over_at: Option<Millis>,
+    /// Bytes of the response that were not handed over.
+    kept_bytes: usize,
     request: Name,
     caller: Option<IpAddr>,
     route: Option<Name>,
@@ -60,7 +69,9 @@
     is_suppressed: bool,
     /// Lines suppressed before this one.
     suppressed_lines: u32,
-    _open: OpenCall,
+    /// None once the request no longer counts as open.
+    open: Option<OpenCall>,
+    _entry: ReportEntry,
 }
 
 impl CallReport {
@@ -68,12 +79,16 @@
         context: &Arc<GatewayContext>,
         id: &str,
         caller: Option<IpAddr>,
+        io: Option<&IoRef>,
         started_at: Millis,
     ) -> Self {
         Self {
             context: Arc::clone(context),
+            io: io.cloned(),
             started_at,
             first_byte_at: None,
+            handed_over_at: None,
+            kept_bytes: 0,
             request: id.into(),
             caller,
             route: None,
@@ -93,7 +108,8 @@
             is_finished: false,
             is_suppressed: false,
             suppressed_lines: 0,
-            _open: OpenCall::new(context),
+            open: Some(OpenCall::new(context)),
+            _entry: ReportEntry::new(context, id.into(), started_at),
         }
     }
 
@@ -121,6 +137,24 @@
         self.status = Some(status);
     }
 
+    /// Records how many bytes of the response wait to be handed over to the connection.
+    pub(crate) fn record_kept(&mut self, bytes: usize) {
+        self.kept_bytes = bytes;
+    }
+
+    /// Records that the last part of the response is handed over to the connection. The report
+    /// ends when it is written.
+    pub(crate) fn hand_over(mut self, connection: Option<BusyConnection>) {
+        self.kept_bytes = 0;
+        self.handed_over_at = Some(self.context.now());
+        self.open = None;
+        let answer = Box::new(HandedReport(self));
+        match connection {
+            Some(connection) => connection.hand_over(answer),
+            None => answer.end(AnswerEnd::Written),
+        }
+    }
+
     /// Records how the last stream of a target was framed and where it ended.
     pub(crate) fn record_stream(&mut self, framing: BodyFraming, ended_in_event: bool) {
         self.framing = Some(framing);
@@ -163,7 +197,12 @@
             return;
         }
         let now = self.context.now();
-        let took_ms = now.saturating_sub(self.started_at);
+        let took_ms = self.handed_over_at.unwrap_or(now).saturating_sub(self.started_at);
+        let written_ms = (end == CallEnd::Answered).then(|| now.saturating_sub(self.started_at));
+        let unwritten = match end {
+            CallEnd::Answered | CallEnd::Refused => 0,
+            _ => self.kept_bytes + self.io.as_ref().map_or(0, unwritten_bytes),
+        };
         let first_ms = self.first_byte_at.map(|at| at.saturating_sub(self.started_at));
         let metrics = &self.context.metrics;
         metrics.incr(&format!("calls.{end:?}")).ok();
@@ -218,6 +257,8 @@
             retry_after_ms,
             first_ms,
             took_ms,
+            written_ms,
+            unwritten = (unwritten > 0).then_some(unwritten),
             version = self.version,
             revision = self.context.source().revision,
             left_out = (self.suppressed_lines > 0).then_some(self.suppressed_lines),
@@ -227,6 +268,21 @@
 
 impl Drop for CallReport {
     fn drop(&mut self) {
-        self.finish_with(CallEnd::Left, "caller closed its connection", None);
+        if self.context.is_exiting() {
+            self.finish(CallEnd::Cut, "the process exits");
+        }
+        self.finish(CallEnd::Left, "caller closed its connection");
+    }
+}
+
+/// Report of a response whose last part was handed over to the connection.
+#[derive(Debug)]
+struct HandedReport(CallReport);
+
+impl HandedAnswer for HandedReport {
+    fn end(mut self: Box<Self>, end: AnswerEnd) {
+        if end == AnswerEnd::Written {
+            self.0.finish(CallEnd::Answered, "complete");
+        }
     }
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -72,8 +72,9 @@
     ntex::rt::spawn(follow_source(Arc::clone(&context), source));
     ntex::rt::spawn(sample_resources(Arc::clone(&context)));
     ntex::rt::spawn(trim_heap(Arc::clone(&context)));
-    stop::wait_for_signal().await?;
+    stop::wait_for_signal(&context).await?;
     stop::drain(&context).await;
+    stop::cut_open_calls(&context).await;
     context.shutdown.cancel();
     server.stop(false).await;
     tracing::info!(unit = "run", event = "stopped");
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -19,6 +19,11 @@
 const EXIT_MARGIN_MS: u64 = 500;
 /// Requests without a response are answered this long before the exit, in milliseconds.
 const ANSWER_MARGIN_MS: u64 = 200;
+/// Longest time for which the exit waits until requests that it cuts are reported.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(200);
+const REPORT_POLL_PERIOD: Duration = Duration::from_millis(5);
+/// Least time between two lines on the progress of a drain, in milliseconds.
+const PROGRESS_PERIOD_MS: Millis = 1_000;
 /// Time between two checks for open requests during a drain.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(50);
 
@@ -28,6 +33,9 @@
     /// Set by the signal handler.
     is_signalled: Arc<AtomicBool>,
     unsignalled_at: AtomicU64,
+    /// Whether the process runs so far that it waits for the signal.
+    is_awaited: AtomicBool,
+    is_logged: AtomicBool,
 }
 
 impl SignalWatch {
@@ -47,6 +55,10 @@
     pub(crate) fn check(&self, now: Millis) {
         if !self.is_signalled.load(Ordering::SeqCst) {
             self.unsignalled_at.store(now, Ordering::SeqCst);
+        } else if !self.is_logged.swap(true, Ordering::SeqCst) {
+            let state = if self.is_awaited.load(Ordering::SeqCst) { "serving" } else { "starting" };
+            let noticed_ms = now.saturating_sub(self.unsignalled_at());
+            tracing::info!(unit = "run", event = "signalled", state, noticed_ms);
         }
     }
 
@@ -60,9 +72,10 @@
 ///
 /// # Errors
 /// Returns an error if a signal handler can't be installed.
-pub(crate) async fn wait_for_signal() -> io::Result<()> {
+pub(crate) async fn wait_for_signal(context: &GatewayContext) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    context.signal_watch.is_awaited.store(true, Ordering::SeqCst);
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
@@ -86,7 +99,12 @@
     context.start_draining(plan);
     tracing::info!(unit = "run", event = "drain", open = context.open_calls(), noticed_ms);
     let mut is_notice_over = false;
+    let mut reported_at = context.now();
     while plan.exit_in_ms(context.now()) > 0 {
+        if context.now() >= reported_at + PROGRESS_PERIOD_MS {
+            reported_at = context.now();
+            log_progress(context, unsignalled_at);
+        }
         if plan.is_ended(context.now()) {
             context.ending.cancel();
         }
@@ -106,3 +124,32 @@
     let took_ms = context.now().saturating_sub(unsignalled_at);
     tracing::info!(unit = "run", event = "drained", took_ms, cut = context.open_calls());
 }
+
+fn log_progress(context: &GatewayContext, unsignalled_at: Millis) {
+    let now = context.now();
+    let after_ms = now.saturating_sub(unsignalled_at);
+    let oldest = context.open.oldest_call();
+    tracing::info!(
+        unit = "run",
+        event = "draining",
+        after_ms,
+        open = context.open_calls(),
+        unwritten = context.open.unwritten_connections(),
+        oldest = oldest.as_ref().map(|(request, _)| &**request),
+        oldest_ms = oldest.as_ref().map(|(_, started_at)| now.saturating_sub(*started_at)),
+    );
+}
+
+/// Ends the requests that are open at the exit, and waits until they are reported.
+pub(crate) async fn cut_open_calls(context: &GatewayContext) {
+    context.exiting.cancel();
+    let reporting = async {
+        while context.open.unreported_calls() > 0 {
+            tokio::time::sleep(REPORT_POLL_PERIOD).await;
+        }
+    };
+    if tokio::time::timeout(REPORT_TIMEOUT, reporting).await.is_err() {
+        let unreported = context.open.unreported_calls();
+        tracing::warn!(unit = "run", event = "not_reported", unreported);
+    }
+}
--- a/crates/gateway/src/worker.rs
+++ b/crates/gateway/src/worker.rs
@@ -54,6 +54,7 @@
     pub(crate) fn start(self: &Rc<Self>) {
         ntex::rt::spawn(sweep_connections(Rc::clone(self)));
         ntex::rt::spawn(watch_lateness(Rc::clone(self)));
+        ntex::rt::spawn(end_at_exit(Rc::clone(self)));
     }
 
     /// Marks a caller's connection as busy until the guard is dropped; `None` if this
@@ -153,6 +154,12 @@
     }
 }
 
+/// Ends what is open when the process exits, so that it is reported.
+async fn end_at_exit(worker: Rc<Worker>) {
+    worker.context.exiting.cancelled().await;
+    worker.connections.terminate_unfinished();
+}
+
 /// Measures how late the thread runs until the process stops.
 async fn watch_lateness(worker: Rc<Worker>) {
     let context = &worker.context;
@@ -163,6 +170,9 @@
             (lateness.tick(now), lateness.late_ms(now))
         };
         let connections = context.open_connections();
+        if context.is_draining() {
+            context.open.set_unwritten_connections(worker.connections.unwritten_connections());
+        }
         worker.close_longest_idle(connections, late_ms, now);
         worker.terminate_largest_heads();
         let has_changed = context.accept_policy().record(connections, late_ms, now);
--- a/crates/inbound/src/accept.rs
+++ b/crates/inbound/src/accept.rs
@@ -16,6 +16,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
+use crate::answers::settle_answers;
 use crate::connections::CallerConnections;
 
 /// Length of the accept queue. A full queue delays callers by seconds.
@@ -112,6 +113,7 @@
         return;
     };
     let pipeline = Pipeline::new(service);
+    ntex::rt::spawn(settle_answers(Rc::clone(&connections)));
     while let Some(AcceptedConnection { stream, guard }) = receiver.recv().await {
         let io = match ntex::rt::from_tcp_stream(stream, config.clone()) {
             Ok(io) => io,
@@ -125,10 +127,11 @@
         connections.insert(io_ref.clone(), gate.now());
         ntex::rt::spawn(async move {
             // The request's own line tells how it ended.
-            if let Err(cause) = pipeline.call(io).await {
+            let result = pipeline.call(io).await;
+            if let Err(cause) = &result {
                 tracing::trace!(unit = "accept", event = "connection_ended", %cause);
             }
-            connections.remove(&io_ref);
+            connections.remove(&io_ref, result.is_err());
             drop(guard);
         });
     }
--- a/crates/inbound/src/connections.rs
+++ b/crates/inbound/src/connections.rs
@@ -1,15 +1,19 @@
 //! Connections of callers on the thread that serves them. Idle ones are closed, the
-//! longest idle first, before the router would have to accept no more.
+//! longest idle first, before the router would have to accept no more. An answer ends when its
+//! bytes have been written to the socket.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::rc::Rc;
 
 use base::{Millis, MonoClock};
 use ntex::io::IoRef;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::answers::{AnswerEnd, HandedAnswer, unwritten_bytes};
+
 /// Fractions of the largest number of connections: from the first one on, idle ones are
 /// closed until the second one is left.
 const CLOSE_FROM: f64 = 0.875;
@@ -25,19 +29,39 @@
 /// requests on them may have arrived and wait to be read.
 const MAX_LATENESS_MS: Millis = 50;
 
-/// A connection without a request in progress.
+/// Identifies a request on this thread.
+type RequestNumber = u64;
+
+/// What a connection is used for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum IdleState {
-    Since(Millis),
+enum ConnectionState {
+    /// No request is in progress.
+    Idle {
+        since: Millis,
+    },
+    Busy(RequestNumber),
     /// Closed by this router. A request that arrives nevertheless is not passed on.
     Closing,
 }
 
-/// Connections without a request in progress, and the deadlines of streams.
+/// A connection that is being served.
+#[derive(Debug)]
+struct ConnectionEntry {
+    state: ConnectionState,
+    /// Until when the caller has to take the answer to a request.
+    deadline: Option<(RequestNumber, Instant)>,
+    /// Answers that may not be written yet, the oldest first.
+    handed_over: Vec<Box<dyn HandedAnswer>>,
+}
+
+/// The connections that are being served, with the deadlines of their answers.
 #[derive(Debug, Default)]
 pub struct CallerConnections {
-    idle: RefCell<HashMap<IoRef, IdleState>>,
-    deadlines: RefCell<HashMap<IoRef, Instant>>,
+    entries: RefCell<HashMap<IoRef, ConnectionEntry>>,
+    /// Connections whose entries have answers that may not be written yet.
+    unwritten: RefCell<Vec<IoRef>>,
+    answer_handed_over: Notify,
+    last_request: Cell<RequestNumber>,
 }
 
 /// A connection with a request in progress. It is idle again once this is dropped.
@@ -46,17 +70,25 @@
     connections: Rc<CallerConnections>,
     io: IoRef,
     clock: MonoClock,
+    request: RequestNumber,
 }
 
 impl CallerConnections {
     /// Records a connection as idle since `now`.
     pub fn insert(&self, io: IoRef, now: Millis) {
-        self.idle.borrow_mut().insert(io, IdleState::Since(now));
+        let state = ConnectionState::Idle { since: now };
+        let entry = ConnectionEntry { state, deadline: None, handed_over: Vec::new() };
+        self.entries.borrow_mut().insert(io, entry);
     }
 
-    /// Forgets a connection that has ended.
-    pub fn remove(&self, io: &IoRef) {
-        self.idle.borrow_mut().remove(io);
+    /// Forgets a connection that has ended, by a failure or not. What it has not written is lost.
+    pub fn remove(&self, io: &IoRef, is_failed: bool) {
+        let entry = self.entries.borrow_mut().remove(io);
+        let is_written = !is_failed && unwritten_bytes(io) == 0;
+        let end = if is_written { AnswerEnd::Written } else { AnswerEnd::Lost };
+        for answer in entry.into_iter().flat_map(|entry| entry.handed_over) {
+            answer.end(end);
+        }
     }
 
     /// Closes the connections that have been idle longest if `open` connections are
@@ -71,8 +103,9 @@
         if late_ms >= MAX_LATENESS_MS {
             return 0;
         }
-        let mut idle = self.idle.borrow_mut();
-        let closing = idle.values().filter(|state| **state == IdleState::Closing).count();
+        let mut entries = self.entries.borrow_mut();
+        let closing =
+            entries.values().filter(|entry| entry.state == ConnectionState::Closing).count();
         let open = open.saturating_sub(closing);
         let close_from = (max as f64 * CLOSE_FROM) as usize;
         let close_down_to = (max as f64 * CLOSE_DOWN_TO) as usize;
@@ -80,20 +113,22 @@
             return 0;
         }
         let mut oldest: Vec<(Millis, IoRef)> = Vec::new();
-        for (io, state) in idle.iter() {
+        for (io, entry) in entries.iter() {
             // Bytes that were read may be a request, which has to be answered.
-            if let IdleState::Since(since) = state
+            if let ConnectionState::Idle { since } = entry.state
                 && now >= since + MIN_IDLE_MS
                 && io.with_read_buf(|bytes| bytes.is_empty())
             {
-                oldest.push((*since, io.clone()));
+                oldest.push((since, io.clone()));
             }
         }
         oldest.sort_by_key(|(since, _)| *since);
         oldest.truncate(open.saturating_sub(close_down_to));
         for (_, io) in &oldest {
             io.close();
-            idle.insert(io.clone(), IdleState::Closing);
+            if let Some(entry) = entries.get_mut(io) {
+                entry.state = ConnectionState::Closing;
+            }
         }
         oldest.len()
     }
@@ -101,12 +136,15 @@
     /// Terminates the connections with the largest heads that are not complete, if all such heads
     /// take more than `room` bytes. Returns how many.
     pub fn terminate_largest_heads(&self, room: usize) -> usize {
-        let mut idle = self.idle.borrow_mut();
+        let mut entries = self.entries.borrow_mut();
         let mut heads: Vec<(usize, IoRef)> = Vec::new();
         let mut bytes = 0;
-        for (io, state) in idle.iter() {
+        for (io, entry) in entries.iter() {
+            if !matches!(entry.state, ConnectionState::Idle { .. }) {
+                continue;
+            }
             let head_bytes = io.with_read_buf(|buffer| buffer.len());
-            if head_bytes > 0 && *state != IdleState::Closing {
+            if head_bytes > 0 {
                 bytes += head_bytes;
                 heads.push((head_bytes, io.clone()));
             }
@@ -124,25 +162,82 @@
             bytes -= head_bytes;
             terminated += 1;
             io.terminate();
-            idle.insert(io, IdleState::Closing);
+            if let Some(entry) = entries.get_mut(&io) {
+                entry.state = ConnectionState::Closing;
+            }
         }
         terminated
     }
 
-    /// Terminates the connections whose callers have not taken their stream by its
+    /// Terminates the connections whose callers have not taken their answer by its
     /// deadline. Returns how many.
     pub fn terminate_overdue(&self, now: Instant) -> usize {
-        let mut deadlines = self.deadlines.borrow_mut();
-        let overdue: Vec<IoRef> = deadlines
-            .iter()
-            .filter(|(_, deadline)| **deadline < now)
-            .map(|(io, _)| io.clone())
-            .collect();
-        for io in &overdue {
-            deadlines.remove(io);
+        self.terminate(|entry| {
+            let deadline = entry.deadline.take_if(|(_, deadline)| *deadline < now);
+            deadline.is_some()
+        })
+    }
+
+    /// Terminates the connections with a request in progress or an answer that is not written.
+    /// Returns how many.
+    pub fn terminate_unfinished(&self) -> usize {
+        self.terminate(|entry| {
+            matches!(entry.state, ConnectionState::Busy(_)) || !entry.handed_over.is_empty()
+        })
+    }
+
+    fn terminate(&self, mut is_due: impl FnMut(&mut ConnectionEntry) -> bool) -> usize {
+        let mut entries = self.entries.borrow_mut();
+        let due = entries.iter_mut().filter_map(|(io, entry)| is_due(entry).then(|| io.clone()));
+        let due: Vec<IoRef> = due.collect();
+        drop(entries);
+        for io in &due {
             io.terminate();
         }
-        overdue.len()
+        due.len()
+    }
+
+    /// Returns the number of connections with bytes that are not written.
+    pub fn unwritten_connections(&self) -> usize {
+        let entries = self.entries.borrow();
+        entries.keys().filter(|io| !io.is_closed() && unwritten_bytes(io) > 0).count()
+    }
+
+    /// Ends the answers whose bytes have been written.
+    pub(crate) fn settle(&self) {
+        let mut written = Vec::new();
+        let mut entries = self.entries.borrow_mut();
+        self.unwritten.borrow_mut().retain(|io| {
+            let Some(entry) = entries.get_mut(io) else { return false };
+            // A write that fails takes its bytes from the buffer.
+            if io.is_closed() || unwritten_bytes(io) > 0 {
+                return true;
+            }
+            written.append(&mut entry.handed_over);
+            false
+        });
+        drop(entries);
+        for answer in written {
+            answer.end(AnswerEnd::Written);
+        }
+    }
+
+    /// Whether an answer may not be written yet.
+    pub(crate) fn has_unwritten(&self) -> bool {
+        !self.unwritten.borrow().is_empty()
+    }
+
+    /// Waits until an answer is handed over.
+    pub(crate) async fn answer_handed_over(&self) {
+        self.answer_handed_over.notified().await;
+    }
+
+    fn with_entry<T>(
+        &self,
+        io: &IoRef,
+        change: impl FnOnce(&mut ConnectionEntry) -> T,
+    ) -> Option<T> {
+        self.entries.borrow_mut().get_mut(io).map(change)
     }
 }
 
@@ -153,12 +248,21 @@
         io: &IoRef,
         clock: &MonoClock,
     ) -> Option<Self> {
-        let mut idle = connections.idle.borrow_mut();
-        if idle.get(io) == Some(&IdleState::Closing) {
-            return None;
-        }
-        idle.remove(io);
-        Some(Self { connections: Rc::clone(connections), io: io.clone(), clock: clock.clone() })
+        let request = connections.last_request.get() + 1;
+        connections.last_request.set(request);
+        let is_open = connections.with_entry(io, |entry| {
+            let is_open = entry.state != ConnectionState::Closing;
+            if is_open {
+                entry.state = ConnectionState::Busy(request);
+            }
+            is_open
+        });
+        is_open.unwrap_or(true).then(|| Self {
+            connections: Rc::clone(connections),
+            io: io.clone(),
+            clock: clock.clone(),
+            request,
+        })
     }
 
     pub fn io(&self) -> &IoRef {
@@ -167,20 +271,44 @@
 
     /// Bounds the time that the caller has to take what is sent to it.
     pub fn set_deadline(&self, deadline: Instant) {
-        self.connections.deadlines.borrow_mut().insert(self.io.clone(), deadline);
+        let deadline = Some((self.request, deadline));
+        self.connections.with_entry(&self.io, |entry| entry.deadline = deadline);
     }
 
     /// Removes the bound, as the caller has taken what was sent to it.
     pub fn clear_deadline(&self) {
-        self.connections.deadlines.borrow_mut().remove(&self.io);
+        self.connections.with_entry(&self.io, |entry| {
+            entry.deadline.take_if(|(request, _)| *request == self.request);
+        });
+    }
+
+    /// Ends the request, whose last part is being handed over to the connection. `answer` ends
+    /// when its bytes have been written or the connection is gone.
+    pub fn hand_over(self, answer: Box<dyn HandedAnswer>) {
+        let connections = Rc::clone(&self.connections);
+        let mut answer = Some(answer);
+        let is_first = connections.with_entry(&self.io, |entry| {
+            entry.handed_over.extend(answer.take());
+            entry.handed_over.len() == 1
+        });
+        if let Some(answer) = answer {
+            answer.end(AnswerEnd::Lost);
+        }
+        if is_first == Some(true) {
+            connections.unwritten.borrow_mut().push(self.io.clone());
+        }
+        connections.answer_handed_over.notify_one();
     }
 }
 
 impl Drop for BusyConnection {
     fn drop(&mut self) {
-        self.connections.deadlines.borrow_mut().remove(&self.io);
-        if !self.io.is_closed() {
-            self.connections.insert(self.io.clone(), self.clock.now());
-        }
+        self.clear_deadline();
+        let since = self.clock.now();
+        self.connections.with_entry(&self.io, |entry| {
+            if entry.state == ConnectionState::Busy(self.request) {
+                entry.state = ConnectionState::Idle { since };
+            }
+        });
     }
 }
--- a/crates/inbound/src/lib.rs
+++ b/crates/inbound/src/lib.rs
@@ -1,9 +1,12 @@
 //! Callers' connections, for `poplar-router` and `poplar-gateway`: they are accepted while the
 //! limits of [`admit`](../admit/index.html) allow it, the longest idle ones are closed before
-//! there are too many, and those whose callers take nothing are terminated.
+//! there are too many, and those whose callers take nothing are terminated. An answer is over when
+//! it has been written.
 
 mod accept;
+mod answers;
 mod connections;
 
 pub use accept::{AcceptedConnection, ConnectionGate, MAX_HANDED_OVER, accept, listen, serve};
+pub use answers::{AnswerEnd, HandedAnswer, unwritten_bytes};
 pub use connections::{BusyConnection, CallerConnections};
--- a/crates/mesh/src/members.rs
+++ b/crates/mesh/src/members.rs
@@ -423,6 +423,11 @@
         }
     }
 
+    /// Whether the last that was heard of a peer, live or not, is that it drains.
+    pub fn is_known_draining(&self, instance: &str) -> bool {
+        self.peers.get(instance).is_some_and(|peer| peer.header.is_draining)
+    }
+
     /// Returns the peers that ceased to be live since the last call.
     pub fn newly_lost(&mut self, now: Millis) -> Vec<Name> {
         let running_now = self.running_now(now);
