--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -33,7 +33,7 @@
 use crate::platform::CallFormat;
 use crate::sampling::LogSampler;
 use crate::settings::GatewaySettings;
-use crate::stop::SignalWatch;
+use crate::signals::SignalWatch;
 use crate::streams::{OpenStreams, OriginExchange};
 
 /// Progress in reading the configuration source.
@@ -195,6 +195,7 @@
         settings: GatewaySettings,
         format: Arc<dyn CallFormat>,
         metrics: StatsdClient,
+        signal_watch: SignalWatch,
     ) -> Arc<Self> {
         let origin = Origin::generate(Name::clone(&settings.instance));
         let bounds = settings.bounds;
@@ -267,7 +268,7 @@
             ending: CancellationToken::new(),
             exiting: CancellationToken::new(),
             shutdown: CancellationToken::new(),
-            signal_watch: SignalWatch::default(),
+            signal_watch,
             stop_plan: OnceLock::new(),
             is_closed: AtomicBool::new(false),
             open: OpenWork::default(),
--- a/crates/gateway/src/reload.rs
+++ b/crates/gateway/src/reload.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use base::SettingsError;
-use tokio::signal::unix::{SignalKind, signal};
 
 use crate::context::GatewayContext;
 use crate::settings::GatewaySettings;
+use crate::signals::CaughtSignal;
 
 /// Time between two checks of the file, as it may change without a signal.
 const POLL_PERIOD: Duration = Duration::from_secs(2);
@@ -16,15 +16,19 @@
 /// Starts a task that watches the settings file until the process stops.
 ///
 /// # Errors
-/// Returns an error if the signal handler can't be installed.
-pub(crate) fn start_reload(context: &Arc<GatewayContext>, file: PathBuf) -> anyhow::Result<()> {
-    let mut hangup = signal(SignalKind::hangup())?;
+/// Returns an error if the signal can't be received.
+pub(crate) fn start_reload(
+    context: &Arc<GatewayContext>,
+    file: PathBuf,
+    signal: CaughtSignal,
+) -> anyhow::Result<()> {
+    let signal = signal.receive()?;
     let context = Arc::clone(context);
     let mut current = context.settings.clone();
     ntex::rt::spawn(async move {
         while !context.shutdown.is_cancelled() {
             let is_signalled = tokio::select! {
-                _ = hangup.recv() => true,
+                _ = signal.next() => true,
                 () = tokio::time::sleep(POLL_PERIOD) => false,
             };
             match read_settings(&file) {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -17,12 +17,14 @@
 use crate::context::GatewayContext;
 use crate::follow::follow_source;
 use crate::heap::trim_heap;
+use crate::life::{ProcessLife, StartEnd};
 use crate::platform::{CallFormat, StateSource};
 use crate::relay::RelayBody;
 use crate::reload::start_reload;
 use crate::resources::sample_resources;
+use crate::serve;
 use crate::settings::GatewaySettings;
-use crate::{serve, stop};
+use crate::signals::ProcessSignals;
 
 /// Time that a caller may take to send the head of its request.
 const HEAD_TIMEOUT: Seconds = Seconds(5);
@@ -35,8 +37,9 @@
 ///
 /// # Errors
 /// Returns an error if the settings are invalid, an address can't be bound or a
-/// signal handler can't be installed.
+/// signal can't be received.
 pub fn run<S: StateSource + 'static>(
+    signals: ProcessSignals,
     settings: GatewaySettings,
     file: PathBuf,
     format: Arc<dyn CallFormat>,
@@ -44,19 +47,8 @@
 ) -> anyhow::Result<()> {
     settings.check()?;
     let _guard = base::init_stdout_logs(&settings.log);
-    let system = ntex::rt::System::new("gateway", ntex::rt::DefaultRuntime);
-    system.block_on(run_gateway(settings, file, format, source))
-}
-
-async fn run_gateway<S: StateSource + 'static>(
-    settings: GatewaySettings,
-    file: PathBuf,
-    format: Arc<dyn CallFormat>,
-    source: S,
-) -> anyhow::Result<()> {
     let (metrics, metrics_sink) = base::prometheus_client("poplar");
-    let context = GatewayContext::new(settings, format, metrics);
-    context.signal_watch.register()?;
+    let context = GatewayContext::new(settings, format, metrics, signals.stop.watch());
     tracing::info!(
         unit = "run",
         event = "started",
@@ -65,20 +57,25 @@
         callers = %context.settings.listen.callers,
         seeds = ?context.settings.seeds,
     );
-    start_heartbeats(&context).await?;
-    start_caller_server(&context)?;
-    let server = listen(&context, &metrics_sink)?;
-    start_reload(&context, file)?;
-    ntex::rt::spawn(follow_source(Arc::clone(&context), source));
-    ntex::rt::spawn(sample_resources(Arc::clone(&context)));
-    ntex::rt::spawn(trim_heap(Arc::clone(&context)));
-    stop::wait_for_signal(&context).await?;
-    stop::drain(&context).await;
-    stop::cut_open_calls(&context).await;
-    context.shutdown.cancel();
-    server.stop(false).await;
-    tracing::info!(unit = "run", event = "stopped");
-    Ok(())
+    let life = ProcessLife::new(context, signals.stop);
+    let start = async move |context: &Arc<GatewayContext>| {
+        start_heartbeats(context).await?;
+        start_caller_server(context)?;
+        let server = listen(context, &metrics_sink)?;
+        start_reload(context, file, signals.reload)?;
+        ntex::rt::spawn(follow_source(Arc::clone(context), source));
+        ntex::rt::spawn(sample_resources(Arc::clone(context)));
+        ntex::rt::spawn(trim_heap(Arc::clone(context)));
+        Ok(server)
+    };
+    let system = ntex::rt::System::new("gateway", ntex::rt::DefaultRuntime);
+    system.block_on(async move {
+        match life.serve(start).await? {
+            StartEnd::Serving(life) => life.wait_for_stop().await?.drain().await.exit().await,
+            StartEnd::Closed(life) => life.exit().await,
+        }
+        Ok(())
+    })
 }
 
 pub(crate) fn http_config() -> SharedCfg {
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -1,14 +1,10 @@
-//! Finds out when the signal to stop may have been sent, and stops the router.
+//! Drains the router when it stops.
 
-use std::io;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use admit::{StopPlan, StopSettings};
 use base::Millis;
-use signal_hook::consts::{SIGINT, SIGTERM};
-use tokio::signal::unix::{SignalKind, signal};
 
 use crate::context::{GatewayContext, millis};
 use crate::serve;
@@ -27,62 +23,6 @@
 /// Time between two checks for open requests during a drain.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(50);
 
-/// When the signal to stop had not been sent yet.
-#[derive(Debug, Default)]
-pub(crate) struct SignalWatch {
-    /// Set by the signal handler.
-    is_signalled: Arc<AtomicBool>,
-    unsignalled_at: AtomicU64,
-    /// Whether the process runs so far that it waits for the signal.
-    is_awaited: AtomicBool,
-    is_logged: AtomicBool,
-}
-
-impl SignalWatch {
-    /// Installs the handlers.
-    ///
-    /// # Errors
-    /// Returns an error if a handler can't be installed.
-    pub(crate) fn register(&self) -> io::Result<()> {
-        for number in [SIGTERM, SIGINT] {
-            signal_hook::flag::register(number, Arc::clone(&self.is_signalled))?;
-        }
-        Ok(())
-    }
-
-    /// Checks whether the signal has arrived. To be called by the main thread, which handles
-    /// signals: it runs no further before their handlers have run.
-    pub(crate) fn check(&self, now: Millis) {
-        if !self.is_signalled.load(Ordering::SeqCst) {
-            self.unsignalled_at.store(now, Ordering::SeqCst);
-        } else if !self.is_logged.swap(true, Ordering::SeqCst) {
-            let state = if self.is_awaited.load(Ordering::SeqCst) { "serving" } else { "starting" };
-            let noticed_ms = now.saturating_sub(self.unsignalled_at());
-            tracing::info!(unit = "run", event = "signalled", state, noticed_ms);
-        }
-    }
-
-    /// Returns the time of the last check at which the signal had not arrived.
-    fn unsignalled_at(&self) -> Millis {
-        self.unsignalled_at.load(Ordering::SeqCst)
-    }
-}
-
-/// Waits for the signal to stop.
-///
-/// # Errors
-/// Returns an error if a signal handler can't be installed.
-pub(crate) async fn wait_for_signal(context: &GatewayContext) -> io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    context.signal_watch.is_awaited.store(true, Ordering::SeqCst);
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    Ok(())
-}
-
 /// Drains the router. It is withdrawn from address responses and reports that it is not ready,
 /// but still serves requests until callers have had time to move to other routers. After that
 /// it accepts only requests that end before its exit, and exits once there are none.
@@ -93,6 +33,7 @@
         exit_margin_ms: EXIT_MARGIN_MS,
         answer_margin_ms: ANSWER_MARGIN_MS,
     };
+    context.signal_watch.check(context.now());
     let unsignalled_at = context.signal_watch.unsignalled_at();
     let plan = StopPlan::new(unsignalled_at, &settings);
     let noticed_ms = context.now().saturating_sub(unsignalled_at);
