--- a/crates/gateway/src/beats.rs
+++ b/crates/gateway/src/beats.rs
@@ -93,7 +93,9 @@
                 tracing::debug!(unit = "beats", event = "not_sent", peer = %receiver, %cause);
             }
         }
-        for peer in context.members().newly_lost(now) {
+        // The lock would be held through the loop.
+        let lost = context.members().newly_lost(now);
+        for peer in lost {
             let was_draining = context.members().is_known_draining(&peer);
             tracing::info!(unit = "beats", event = "peer_lost", %peer, was_draining);
         }
