--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -93,12 +93,12 @@
     }
 }
 
-/// A target's response that was read completely. Until its caller has taken it, its bytes
+/// A target's response that was read completely. Until it is written to its caller, its bytes
 /// count against the memory of the process, its connection is not idle, and its request
 /// is open.
 pub(crate) struct BufferedBody {
     bytes: hyper::body::Bytes,
-    _held: HeldBody,
+    held: HeldBody,
     connection: Option<BusyConnection>,
     report: CallReport,
 }
@@ -112,12 +112,12 @@
     ) -> Self {
         held.free_bytes();
         report.record_kept(bytes.len());
-        Self { bytes, _held: held, connection, report }
+        Self { bytes, held, connection, report }
     }
 
     /// Ends the request, whose last part is handed over.
     fn end(self) {
-        self.report.hand_over(self.connection);
+        self.report.hand_over(self.connection, self.held);
     }
 
     fn next_part(&mut self) -> Option<Bytes> {
@@ -258,7 +258,7 @@
             match relay.next().await {
                 Ok(Some(bytes)) => Some((Ok(bytes), Some(relay))),
                 Ok(None) => {
-                    relay.report.hand_over(relay.connection);
+                    relay.report.hand_over(relay.connection, relay.call.body);
                     None
                 }
                 Err(cause) => {
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -12,7 +12,7 @@
 use sse::EventTrace;
 use target::FullCounts;
 
-use crate::call::{AdmittedCall, RoutedCall};
+use crate::call::{AdmittedCall, HeldBody, RoutedCall};
 use crate::context::GatewayContext;
 use crate::open::{OpenCall, ReportEntry};
 use crate::platform::NamedLimit;
@@ -40,6 +40,7 @@
     /// Connection of the caller.
     io: Option<IoRef>,
     started_at: Millis,
+    expires_at: Option<Millis>,
     first_byte_at: Option<Millis>,
     /// When the last part of the response was handed over to the connection.
     handed_over_at: Option<Millis>,
@@ -69,8 +70,7 @@
     is_suppressed: bool,
     /// Lines suppressed before this one.
     suppressed_lines: u32,
-    /// None once the request no longer counts as open.
-    open: Option<OpenCall>,
+    _open: OpenCall,
     _entry: ReportEntry,
 }
 
@@ -86,6 +86,7 @@
             context: Arc::clone(context),
             io: io.cloned(),
             started_at,
+            expires_at: None,
             first_byte_at: None,
             handed_over_at: None,
             kept_bytes: 0,
@@ -108,12 +109,13 @@
             is_finished: false,
             is_suppressed: false,
             suppressed_lines: 0,
-            open: Some(OpenCall::new(context)),
+            _open: OpenCall::new(context),
             _entry: ReportEntry::new(context, id.into(), started_at),
         }
     }
 
     pub(crate) fn record_route(&mut self, call: &RoutedCall) {
+        self.expires_at = Some(call.expires_at);
         self.route = Some(Name::clone(&call.route.name));
         self.account.clone_from(&call.account);
         self.version = Some(call.table.version);
@@ -142,13 +144,12 @@
         self.kept_bytes = bytes;
     }
 
-    /// Records that the last part of the response is handed over to the connection. The report
-    /// ends when it is written.
-    pub(crate) fn hand_over(mut self, connection: Option<BusyConnection>) {
+    /// Records that the last part of the response is handed over to the connection. The request is
+    /// open, and what it holds counts, until it is written.
+    pub(crate) fn hand_over(mut self, connection: Option<BusyConnection>, held: HeldBody) {
         self.kept_bytes = 0;
         self.handed_over_at = Some(self.context.now());
-        self.open = None;
-        let answer = Box::new(HandedReport(self));
+        let answer = Box::new(HandedReport { report: self, held: Some(held) });
         match connection {
             Some(connection) => connection.hand_over(answer),
             None => answer.end(AnswerEnd::Written),
@@ -271,18 +272,29 @@
         if self.context.is_exiting() {
             self.finish(CallEnd::Cut, "the process exits");
         }
+        if self.expires_at.is_some_and(|at| self.context.now() >= at) {
+            self.finish(CallEnd::Cut, "time is over");
+        }
         self.finish(CallEnd::Left, "caller closed its connection");
     }
 }
 
 /// Report of a response whose last part was handed over to the connection.
 #[derive(Debug)]
-struct HandedReport(CallReport);
+struct HandedReport {
+    report: CallReport,
+    /// None once the next request has begun.
+    held: Option<HeldBody>,
+}
 
 impl HandedAnswer for HandedReport {
+    fn release(&mut self) {
+        self.held = None;
+    }
+
     fn end(mut self: Box<Self>, end: AnswerEnd) {
         if end == AnswerEnd::Written {
-            self.0.finish(CallEnd::Answered, "complete");
+            self.report.finish(CallEnd::Answered, "complete");
         }
     }
 }
--- a/crates/inbound/src/answers.rs
+++ b/crates/inbound/src/answers.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use ntex::io::IoRef;
+use tokio::time::Instant;
 
 use crate::connections::CallerConnections;
 
@@ -23,6 +24,9 @@
 
 /// An answer whose last part was handed over to its connection.
 pub trait HandedAnswer: Debug {
+    /// Frees what is held for more than the last part, as the next request begins on the connection.
+    fn release(&mut self) {}
+
     fn end(self: Box<Self>, end: AnswerEnd);
 }
 
@@ -33,14 +37,20 @@
 
 /// Ends the answers of the thread once they are written, as long as the thread runs.
 pub(crate) async fn settle_answers(connections: Rc<CallerConnections>) {
+    let mut check_at = Instant::now();
     loop {
         if connections.has_unwritten() {
-            // Without backpressure, the connection writes in the same turn of the thread.
-            let _ = tokio::time::timeout(SETTLE_PERIOD, connections.answer_handed_over()).await;
+            // A timeout is no error: the check is due.
+            let _ = tokio::time::timeout_at(check_at, connections.answer_handed_over()).await;
         } else {
             connections.answer_handed_over().await;
         }
+        // A connection whose socket has room writes in the same turn of the thread.
         tokio::task::yield_now().await;
-        connections.settle();
+        connections.settle_handed_over();
+        if Instant::now() >= check_at {
+            connections.settle_unwritten();
+            check_at = Instant::now() + SETTLE_PERIOD;
+        }
     }
 }
--- a/crates/inbound/src/connections.rs
+++ b/crates/inbound/src/connections.rs
@@ -40,6 +40,8 @@
         since: Millis,
     },
     Busy(RequestNumber),
+    /// The answer was handed over, and may not be written yet.
+    Writing(RequestNumber),
     /// Closed by this router. A request that arrives nevertheless is not passed on.
     Closing,
 }
@@ -51,20 +53,39 @@
     /// Until when the caller has to take the answer to a request.
     deadline: Option<(RequestNumber, Instant)>,
     /// Answers that may not be written yet, the oldest first.
-    handed_over: Vec<Box<dyn HandedAnswer>>,
+    handed_over: Vec<HandedOver>,
+}
+
+/// An answer, with its connection until it ends.
+#[derive(Debug)]
+struct HandedOver {
+    answer: Box<dyn HandedAnswer>,
+    connection: BusyConnection,
+}
+
+impl HandedOver {
+    /// To be called while no entry is borrowed.
+    fn end(self, end: AnswerEnd) {
+        self.answer.end(end);
+        drop(self.connection);
+    }
 }
 
 /// The connections that are being served, with the deadlines of their answers.
 #[derive(Debug, Default)]
 pub struct CallerConnections {
     entries: RefCell<HashMap<IoRef, ConnectionEntry>>,
-    /// Connections whose entries have answers that may not be written yet.
+    /// Connections with answers that were handed over since the last check. Invariant: each
+    /// connection with an answer is in one of both lists, once.
+    handed_over: RefCell<Vec<IoRef>>,
+    /// Connections with answers that were not written at the last check.
     unwritten: RefCell<Vec<IoRef>>,
     answer_handed_over: Notify,
     last_request: Cell<RequestNumber>,
 }
 
-/// A connection with a request in progress. It is idle again once this is dropped.
+/// A connection with a request in progress. It is idle again, without a deadline, once this is
+/// dropped.
 #[derive(Debug)]
 pub struct BusyConnection {
     connections: Rc<CallerConnections>,
@@ -140,7 +161,7 @@
         let mut heads: Vec<(usize, IoRef)> = Vec::new();
         let mut bytes = 0;
         for (io, entry) in entries.iter() {
-            if !matches!(entry.state, ConnectionState::Idle { .. }) {
+            if matches!(entry.state, ConnectionState::Busy(_) | ConnectionState::Closing) {
                 continue;
             }
             let head_bytes = io.with_read_buf(|buffer| buffer.len());
@@ -182,7 +203,8 @@
     /// Returns how many.
     pub fn terminate_unfinished(&self) -> usize {
         self.terminate(|entry| {
-            matches!(entry.state, ConnectionState::Busy(_)) || !entry.handed_over.is_empty()
+            let is_idle = matches!(entry.state, ConnectionState::Idle { .. });
+            !is_idle && entry.state != ConnectionState::Closing
         })
     }
 
@@ -203,11 +225,23 @@
         entries.keys().filter(|io| !io.is_closed() && unwritten_bytes(io) > 0).count()
     }
 
-    /// Ends the answers whose bytes have been written.
-    pub(crate) fn settle(&self) {
+    /// Ends the answers that were handed over since the last call and have been written.
+    pub(crate) fn settle_handed_over(&self) {
+        let rest = self.settle(self.handed_over.take());
+        self.unwritten.borrow_mut().extend(rest);
+    }
+
+    /// Ends the answers that were not written at an earlier check and have been written.
+    pub(crate) fn settle_unwritten(&self) {
+        let rest = self.settle(self.unwritten.take());
+        self.unwritten.borrow_mut().extend(rest);
+    }
+
+    /// Ends the answers of connections that have written all. Returns the other connections.
+    fn settle(&self, mut connections: Vec<IoRef>) -> Vec<IoRef> {
         let mut written = Vec::new();
         let mut entries = self.entries.borrow_mut();
-        self.unwritten.borrow_mut().retain(|io| {
+        connections.retain(|io| {
             let Some(entry) = entries.get_mut(io) else { return false };
             // A write that fails takes its bytes from the buffer.
             if io.is_closed() || unwritten_bytes(io) > 0 {
@@ -217,12 +251,13 @@
             false
         });
         drop(entries);
-        for answer in written {
-            answer.end(AnswerEnd::Written);
+        for handed_over in written {
+            handed_over.end(AnswerEnd::Written);
         }
+        connections
     }
 
-    /// Whether an answer may not be written yet.
+    /// Whether an answer was not written at the last check.
     pub(crate) fn has_unwritten(&self) -> bool {
         !self.unwritten.borrow().is_empty()
     }
@@ -255,6 +290,9 @@
             if is_open {
                 entry.state = ConnectionState::Busy(request);
             }
+            for handed_over in &mut entry.handed_over {
+                handed_over.answer.release();
+            }
             is_open
         });
         is_open.unwrap_or(true).then(|| Self {
@@ -282,20 +320,24 @@
         });
     }
 
-    /// Ends the request, whose last part is being handed over to the connection. `answer` ends
-    /// when its bytes have been written or the connection is gone.
+    /// Ends the request, whose last part is being handed over to the connection, when its bytes
+    /// have been written or the connection is gone, with `answer`.
     pub fn hand_over(self, answer: Box<dyn HandedAnswer>) {
-        let connections = Rc::clone(&self.connections);
-        let mut answer = Some(answer);
-        let is_first = connections.with_entry(&self.io, |entry| {
-            entry.handed_over.extend(answer.take());
+        let (connections, io) = (Rc::clone(&self.connections), self.io.clone());
+        let request = self.request;
+        let mut handed_over = Some(HandedOver { answer, connection: self });
+        let is_first = connections.with_entry(&io, |entry| {
+            if entry.state == ConnectionState::Busy(request) {
+                entry.state = ConnectionState::Writing(request);
+            }
+            entry.handed_over.extend(handed_over.take());
             entry.handed_over.len() == 1
         });
-        if let Some(answer) = answer {
-            answer.end(AnswerEnd::Lost);
+        if let Some(handed_over) = handed_over {
+            handed_over.end(AnswerEnd::Lost);
         }
         if is_first == Some(true) {
-            connections.unwritten.borrow_mut().push(self.io.clone());
+            connections.handed_over.borrow_mut().push(io);
         }
         connections.answer_handed_over.notify_one();
     }
@@ -306,7 +348,10 @@
         self.clear_deadline();
         let since = self.clock.now();
         self.connections.with_entry(&self.io, |entry| {
-            if entry.state == ConnectionState::Busy(self.request) {
+            let request = self.request;
+            if [ConnectionState::Busy(request), ConnectionState::Writing(request)]
+                .contains(&entry.state)
+            {
                 entry.state = ConnectionState::Idle { since };
             }
         });
