--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -1,14 +1,10 @@
-//! Finds out when the signal to stop may have been sent, and stops the router.
+//! Drains the router when it stops.
 
-use std::io;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use admit::{StopPlan, StopSettings};
 use base::Millis;
-use signal_hook::consts::{SIGINT, SIGTERM};
-use tokio::signal::unix::{SignalKind, signal};
 
 use crate::context::{GatewayContext, millis};
 use crate::serve;
@@ -19,57 +15,14 @@
 const EXIT_MARGIN_MS: u64 = 500;
 /// Requests without a response are answered this long before the exit, in milliseconds.
 const ANSWER_MARGIN_MS: u64 = 200;
+/// Longest time for which the exit waits until requests that it cuts are reported.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(200);
+const REPORT_POLL_PERIOD: Duration = Duration::from_millis(5);
+/// Least time between two lines on the progress of a drain, in milliseconds.
+const PROGRESS_PERIOD_MS: Millis = 1_000;
 /// Time between two checks for open requests during a drain.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(50);
 
-/// When the signal to stop had not been sent yet.
-#[derive(Debug, Default)]
-pub(crate) struct SignalWatch {
-    /// Set by the signal handler.
-    is_signalled: Arc<AtomicBool>,
-    unsignalled_at: AtomicU64,
-}
-
-impl SignalWatch {
-    /// Installs the handlers.
-    ///
-    /// # Errors
-    /// Returns an error if a handler can't be installed.
-    pub(crate) fn register(&self) -> io::Result<()> {
-        for number in [SIGTERM, SIGINT] {
-            signal_hook::flag::register(number, Arc::clone(&self.is_signalled))?;
-        }
-        Ok(())
-    }
-
-    /// Checks whether the signal has arrived. To be called by the main thread, which handles
-    /// signals: it runs no further before their handlers have run.
-    pub(crate) fn check(&self, now: Millis) {
-        if !self.is_signalled.load(Ordering::SeqCst) {
-            self.unsignalled_at.store(now, Ordering::SeqCst);
-        }
-    }
-
-    /// Returns the time of the last check at which the signal had not arrived.
-    fn unsignalled_at(&self) -> Millis {
-        self.unsignalled_at.load(Ordering::SeqCst)
-    }
-}
-
-/// Waits for the signal to stop.
-///
-/// # Errors
-/// Returns an error if a signal handler can't be installed.
-pub(crate) async fn wait_for_signal() -> io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    Ok(())
-}
-
 /// Drains the router. It is withdrawn from address responses and reports that it is not ready,
 /// but still serves requests until callers have had time to move to other routers. After that
 /// it accepts only requests that end before its exit, and exits once there are none.
@@ -80,13 +33,19 @@
         exit_margin_ms: EXIT_MARGIN_MS,
         answer_margin_ms: ANSWER_MARGIN_MS,
     };
+    context.signal_watch.check(context.now());
     let unsignalled_at = context.signal_watch.unsignalled_at();
     let plan = StopPlan::new(unsignalled_at, &settings);
     let noticed_ms = context.now().saturating_sub(unsignalled_at);
     context.start_draining(plan);
     tracing::info!(unit = "run", event = "drain", open = context.open_calls(), noticed_ms);
     let mut is_notice_over = false;
+    let mut reported_at = context.now();
     while plan.exit_in_ms(context.now()) > 0 {
+        if context.now() >= reported_at + PROGRESS_PERIOD_MS {
+            reported_at = context.now();
+            log_progress(context, unsignalled_at);
+        }
         if plan.is_ended(context.now()) {
             context.ending.cancel();
         }
@@ -106,3 +65,32 @@
     let took_ms = context.now().saturating_sub(unsignalled_at);
     tracing::info!(unit = "run", event = "drained", took_ms, cut = context.open_calls());
 }
+
+fn log_progress(context: &GatewayContext, unsignalled_at: Millis) {
+    let now = context.now();
+    let after_ms = now.saturating_sub(unsignalled_at);
+    let oldest = context.open.oldest_call();
+    tracing::info!(
+        unit = "run",
+        event = "draining",
+        after_ms,
+        open = context.open_calls(),
+        unwritten = context.open.unwritten_connections(),
+        oldest = oldest.as_ref().map(|(request, _)| &**request),
+        oldest_ms = oldest.as_ref().map(|(_, started_at)| now.saturating_sub(*started_at)),
+    );
+}
+
+/// Ends the requests that are open at the exit, and waits until they are reported.
+pub(crate) async fn cut_open_calls(context: &GatewayContext) {
+    context.exiting.cancel();
+    let reporting = async {
+        while context.open.unreported_calls() > 0 {
+            tokio::time::sleep(REPORT_POLL_PERIOD).await;
+        }
+    };
+    if tokio::time::timeout(REPORT_TIMEOUT, reporting).await.is_err() {
+        let unreported = context.open.unreported_calls();
+        tracing::warn!(unit = "run", event = "not_reported", unreported);
+    }
+}
