--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -55,7 +55,7 @@
             let worker = Rc::clone(&worker);
             async move { run::HandlerResult::Ok(pipeline::serve(worker, request).await) }
         }));
-        let config = run::http_config();
+        let config = run::caller_config();
         ntex::rt::spawn(inbound::serve(worker_context, receiver, factory, config, connections));
     });
     ntex::rt::spawn(inbound::accept(Arc::clone(context), listener, sender));
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -8,6 +8,7 @@
 use base::PrometheusSink;
 use ntex::SharedCfg;
 use ntex::http::{HttpService, HttpServiceConfig, Request, Response};
+use ntex::io::IoConfig;
 use ntex::server::ServerBuilder;
 use ntex::service::fn_service;
 use ntex::time::Seconds;
@@ -79,10 +80,20 @@
 }
 
 pub(crate) fn http_config() -> SharedCfg {
-    let config = HttpServiceConfig::new()
+    SharedCfg::new("gateway").add(timeouts()).into()
+}
+
+/// Returns the configuration of callers' connections. What is written before one closes has the
+/// deadline of its request.
+pub(crate) fn caller_config() -> SharedCfg {
+    let io_config = IoConfig::new().set_disconnect_timeout(inbound::DISCONNECT_TIMEOUT);
+    SharedCfg::new("gateway").add(timeouts()).add(io_config).into()
+}
+
+fn timeouts() -> HttpServiceConfig {
+    HttpServiceConfig::new()
         .set_headers_read_rate(HEAD_TIMEOUT, HEAD_TIMEOUT, 1_024)
-        .set_keepalive(CALLER_KEEP_ALIVE);
-    SharedCfg::new("gateway").add(config).into()
+        .set_keepalive(CALLER_KEEP_ALIVE)
 }
 
 pub(crate) type HandlerResult = Result<Response<RelayBody>, io::Error>;
--- a/crates/inbound/src/connections.rs
+++ b/crates/inbound/src/connections.rs
@@ -6,9 +6,11 @@
 use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use base::{Millis, MonoClock};
 use ntex::io::IoRef;
+use ntex::time::Seconds;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -25,6 +27,12 @@
 /// Time in milliseconds for which a connection must be idle to be closed. The request of
 /// a new one is on its way, or waits to be read.
 const MIN_IDLE_MS: Millis = 250;
+/// Time that a caller has to take what has no deadline of its own, such as a refusal.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest time for which a connection that is being closed may write. What it writes has a
+/// deadline, at which [`CallerConnections::terminate_overdue`] ends it.
+pub const DISCONNECT_TIMEOUT: Seconds = Seconds(u16::MAX);
+
 /// Lateness of the thread in milliseconds from which on no idle connection is closed, as
 /// requests on them may have arrived and wait to be read.
 const MAX_LATENESS_MS: Millis = 50;
@@ -52,6 +60,8 @@
     state: ConnectionState,
     /// Until when the caller has to take the answer to a request.
     deadline: Option<(RequestNumber, Instant)>,
+    /// Until when the caller has to take bytes that have no deadline of a request.
+    unread_deadline: Option<Instant>,
     /// Answers that may not be written yet, the oldest first.
     handed_over: Vec<HandedOver>,
 }
@@ -98,7 +108,12 @@
     /// Records a connection as idle since `now`.
     pub fn insert(&self, io: IoRef, now: Millis) {
         let state = ConnectionState::Idle { since: now };
-        let entry = ConnectionEntry { state, deadline: None, handed_over: Vec::new() };
+        let entry = ConnectionEntry {
+            state,
+            deadline: None,
+            unread_deadline: None,
+            handed_over: Vec::new(),
+        };
         self.entries.borrow_mut().insert(io, entry);
     }
 
@@ -193,24 +208,33 @@
     /// Terminates the connections whose callers have not taken their answer by its
     /// deadline. Returns how many.
     pub fn terminate_overdue(&self, now: Instant) -> usize {
-        self.terminate(|entry| {
+        self.terminate(|io, entry| {
+            let has_deadline = entry.deadline.is_some() || entry.unread_deadline.is_some();
+            let is_busy = matches!(entry.state, ConnectionState::Busy(_));
+            if unwritten_bytes(io) == 0 || is_busy {
+                entry.unread_deadline = None;
+            } else if !has_deadline {
+                entry.unread_deadline = Some(now + UNREAD_TIMEOUT);
+            }
+            let is_unread = entry.unread_deadline.is_some_and(|deadline| deadline < now);
             let deadline = entry.deadline.take_if(|(_, deadline)| *deadline < now);
-            deadline.is_some()
+            deadline.is_some() || is_unread
         })
     }
 
     /// Terminates the connections with a request in progress or an answer that is not written.
     /// Returns how many.
     pub fn terminate_unfinished(&self) -> usize {
-        self.terminate(|entry| {
+        self.terminate(|_, entry| {
             let is_idle = matches!(entry.state, ConnectionState::Idle { .. });
             !is_idle && entry.state != ConnectionState::Closing
         })
     }
 
-    fn terminate(&self, mut is_due: impl FnMut(&mut ConnectionEntry) -> bool) -> usize {
+    fn terminate(&self, mut is_due: impl FnMut(&IoRef, &mut ConnectionEntry) -> bool) -> usize {
         let mut entries = self.entries.borrow_mut();
-        let due = entries.iter_mut().filter_map(|(io, entry)| is_due(entry).then(|| io.clone()));
+        let due =
+            entries.iter_mut().filter_map(|(io, entry)| is_due(io, entry).then(|| io.clone()));
         let due: Vec<IoRef> = due.collect();
         drop(entries);
         for io in &due {
--- a/crates/inbound/src/lib.rs
+++ b/crates/inbound/src/lib.rs
@@ -9,4 +9,4 @@
 
 pub use accept::{AcceptedConnection, ConnectionGate, MAX_HANDED_OVER, accept, listen, serve};
 pub use answers::{AnswerEnd, HandedAnswer, unwritten_bytes};
-pub use connections::{BusyConnection, CallerConnections};
+pub use connections::{BusyConnection, CallerConnections, DISCONNECT_TIMEOUT};
