--- /dev/null
+++ b/crates/admit/src/closing.rs
@@ -0,0 +1,60 @@
+//! When a router that stops refuses all, and when its process exits.
+//!
+//! Load pattern: callers go on sending on open connections and read slowly, while the router wants to
+//! leave as soon as nothing is lost by it.
+
+use base::Millis;
+
+use crate::stop::StopPlan;
+
+/// What is open at a router.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct OpenCounts {
+    /// Requests that were read and whose answers are not written.
+    pub requests: usize,
+    /// Connections with bytes that are not written, or with a whole request that is not read.
+    pub connections: usize,
+}
+
+impl OpenCounts {
+    fn is_empty(self) -> bool {
+        self.requests == 0 && self.connections == 0
+    }
+}
+
+/// What a router that stops does next.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StopStep {
+    /// Counts again later.
+    Wait,
+    /// Refuses all requests from now on, and counts again after that.
+    Close,
+    /// Ends the process.
+    Exit,
+}
+
+/// A stop by a plan, which begins with requests being accepted.
+#[derive(Clone, Copy, Debug)]
+pub struct StopCycle {
+    plan: StopPlan,
+    /// Whether all requests are refused. Invariant: once set, it stays set.
+    is_closed: bool,
+}
+
+impl StopCycle {
+    pub fn new(plan: StopPlan) -> Self {
+        Self { plan, is_closed: false }
+    }
+
+    /// Decides with what was counted after the step before was taken, by the thread that reads and
+    /// writes, so that nothing comes between.
+    pub fn step(&mut self, now: Millis, open: OpenCounts) -> StopStep {
+        if self.plan.exit_in_ms(now) == 0 {
+            return StopStep::Exit;
+        }
+        if !self.plan.is_notice_over(now) || !open.is_empty() {
+            return StopStep::Wait;
+        }
+        if std::mem::replace(&mut self.is_closed, true) { StopStep::Exit } else { StopStep::Close }
+    }
+}
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -2,6 +2,7 @@
 //! retry budget, overload detection of a router and what it accepts. Does no I/O.
 
 mod accept;
+mod closing;
 mod lateness;
 mod memory;
 mod resources;
@@ -11,6 +12,7 @@
 mod window;
 
 pub use accept::{AcceptPolicy, AcceptSettings};
+pub use closing::{OpenCounts, StopCycle, StopStep};
 pub use lateness::{LatenessSettings, ThreadLateness};
 pub use memory::{HoldKey, MemoryBudget, MemoryRefusal, MemorySettings};
 pub use resources::ResourceSettings;
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -159,9 +159,9 @@
     pub(crate) signal_watch: SignalWatch,
     /// Set once the router stops.
     stop_plan: OnceLock<StopPlan>,
-    /// Whether all new requests are refused, as the process exits. Read after a request was
-    /// counted in `open`, and set before that is read: either the request is refused, or the
-    /// process does not exit.
+    /// Whether all new requests are refused, as the process exits. Set before the thread that
+    /// serves callers is asked what is open: either a request is refused, or the process does not
+    /// exit.
     is_closed: AtomicBool,
     pub(crate) open: OpenWork,
     /// Number of live routers, including this one.
@@ -404,13 +404,9 @@
         self.is_draining() || self.accept_policy().has_free_others()
     }
 
-    /// Refuses new requests from now on if none is open. Returns whether the process may exit.
-    pub(crate) fn close_if_unused(&self) -> bool {
-        if self.open_calls() > 0 {
-            return false;
-        }
+    /// Refuses all new requests from now on.
+    pub(crate) fn close(&self) {
         self.is_closed.store(true, Ordering::SeqCst);
-        self.open_calls() == 0
     }
 
     pub(crate) fn is_closed(&self) -> bool {
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use admit::{StopPlan, StopSettings};
+use admit::{OpenCounts, StopCycle, StopPlan, StopSettings, StopStep};
 use base::Millis;
 
 use crate::context::{GatewayContext, millis};
@@ -39,9 +39,10 @@
     let noticed_ms = context.now().saturating_sub(unsignalled_at);
     context.start_draining(plan);
     tracing::info!(unit = "run", event = "drain", open = context.open_calls(), noticed_ms);
+    let mut cycle = StopCycle::new(plan);
     let mut is_notice_over = false;
     let mut reported_at = context.now();
-    while plan.exit_in_ms(context.now()) > 0 {
+    loop {
         if context.now() >= reported_at + PROGRESS_PERIOD_MS {
             reported_at = context.now();
             log_progress(context, unsignalled_at);
@@ -56,16 +57,27 @@
                 tracing::info!(unit = "run", event = "closed", after_ms, open);
             }
             is_notice_over = true;
-            if context.close_if_unused() {
-                break;
-            }
         }
-        tokio::time::sleep(DRAIN_POLL_PERIOD).await;
+        let open = count_open(context).await;
+        match cycle.step(context.now(), open) {
+            StopStep::Wait => tokio::time::sleep(DRAIN_POLL_PERIOD).await,
+            StopStep::Close => context.close(),
+            StopStep::Exit => break,
+        }
     }
     let took_ms = context.now().saturating_sub(unsignalled_at);
     tracing::info!(unit = "run", event = "drained", took_ms, cut = context.open_calls());
 }
 
+/// Counts what is open, on the thread that serves callers. While that thread is late, something
+/// counts as open.
+async fn count_open(context: &GatewayContext) -> OpenCounts {
+    let unknown = OpenCounts { requests: context.open_calls().max(1), connections: 0 };
+    let Some(counting) = context.open.count() else { return unknown };
+    let counted = tokio::time::timeout(DRAIN_POLL_PERIOD, counting).await;
+    counted.ok().and_then(Result::ok).unwrap_or(unknown)
+}
+
 fn log_progress(context: &GatewayContext, unsignalled_at: Millis) {
     let now = context.now();
     let after_ms = now.saturating_sub(unsignalled_at);
--- a/crates/inbound/src/connections.rs
+++ b/crates/inbound/src/connections.rs
@@ -37,6 +37,9 @@
 /// requests on them may have arrived and wait to be read.
 const MAX_LATENESS_MS: Millis = 50;
 
+/// End of the head of a request.
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
 /// Identifies a request on this thread.
 type RequestNumber = u64;
 
@@ -243,6 +246,20 @@
         due.len()
     }
 
+    /// Returns the number of connections with bytes that are not written, or with a whole head of
+    /// a request that has not begun.
+    pub fn unfinished_connections(&self) -> usize {
+        let entries = self.entries.borrow();
+        let is_unfinished = |(io, entry): &(&IoRef, &ConnectionEntry)| {
+            let waits = !matches!(entry.state, ConnectionState::Busy(_) | ConnectionState::Closing);
+            let has_head = || {
+                io.with_read_buf(|bytes| bytes.windows(HEAD_END.len()).any(|end| end == HEAD_END))
+            };
+            !io.is_closed() && (unwritten_bytes(io) > 0 || waits && has_head())
+        };
+        entries.iter().filter(is_unfinished).count()
+    }
+
     /// Returns the number of connections with bytes that are not written.
     pub fn unwritten_connections(&self) -> usize {
         let entries = self.entries.borrow();
