--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -91,18 +91,21 @@
 impl ProcessLife<Draining> {
     pub(crate) async fn drain(self) -> ProcessLife<Closed> {
         stop::drain(&self.context).await;
-        stop::cut_open_calls(&self.context).await;
         let Draining { server } = self.state;
         ProcessLife { context: self.context, state: Closed { server: Some(server) } }
     }
 }
 
 impl ProcessLife<Closed> {
+    /// Ends what is open beside the other servers, as both take a part of the exit margin.
     pub(crate) async fn exit(self) {
         self.context.shutdown.cancel();
-        if let Some(server) = self.state.server {
-            server.stop(false).await;
-        }
+        let stop_server = async {
+            if let Some(server) = self.state.server {
+                server.stop(false).await;
+            }
+        };
+        tokio::join!(stop::cut_open_calls(&self.context), stop_server);
         tracing::info!(unit = "run", event = "stopped");
     }
 }
