--- a/crates/bench/src/launch.rs
+++ b/crates/bench/src/launch.rs
@@ -87,7 +87,7 @@
     pub name: String,
     pub address: SocketAddr,
     pub peer_address: SocketAddr,
-    settings_file: PathBuf,
+    pub settings_file: PathBuf,
     log_file: PathBuf,
     /// None while the router is not running.
     pub process: Option<ChildProcess>,
--- a/crates/bench/tests/processes/main.rs
+++ b/crates/bench/tests/processes/main.rs
@@ -9,4 +9,5 @@
 mod lifecycle;
 mod old_callers;
 mod slow_readers;
+mod stop;
 mod truncation;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -24,6 +24,7 @@
 mod retries;
 mod run;
 mod settings;
+mod signals;
 mod sse;
 mod status;
 mod stream;
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -9,7 +9,6 @@
 use ntex::http::HttpServiceConfig;
 use ntex::time::Seconds;
 use ntex::web::{self, App};
-use tokio::signal::unix::{SignalKind, signal};
 
 use crate::accept::start_caller_server;
 use crate::client::{PeerClient, PlatformClient};
@@ -21,6 +20,7 @@
 use crate::peer;
 use crate::placing::run_placement;
 use crate::settings::{RouterSettings, ShareMode};
+use crate::signals::StopSignals;
 use crate::watch::run_document_watch;
 
 /// Interval at which a drain checks for open requests, in milliseconds.
@@ -41,16 +41,20 @@
 /// # Errors
 /// Returns an error if the settings are invalid or an address is in use.
 pub fn run() -> anyhow::Result<()> {
-    let args = parse_args();
-    let settings: RouterSettings = base::load_settings(&args.settings)?;
-    settings.check()?;
-    if args.print_config {
-        let redacted = RouterSettings { secret: "(hidden)".into(), ..settings };
-        println!("{}", serde_json::to_string_pretty(&redacted)?);
-        return Ok(());
-    }
-    base::init_logs(&settings.log);
-    ntex::rt::System::new("router", ntex::rt::DefaultRuntime).block_on(serve(settings))
+    ntex::rt::System::new("router", ntex::rt::DefaultRuntime).block_on(async {
+        // Until then a signal ends the process at once, so nothing is read or listens before.
+        let signals = StopSignals::subscribe()?;
+        let args = parse_args();
+        let settings: RouterSettings = base::load_settings(&args.settings)?;
+        settings.check()?;
+        if args.print_config {
+            let redacted = RouterSettings { secret: "(hidden)".into(), ..settings };
+            println!("{}", serde_json::to_string_pretty(&redacted)?);
+            return Ok(());
+        }
+        base::init_logs(&settings.log);
+        serve(settings, signals).await
+    })
 }
 
 fn parse_args() -> RouterArgs {
@@ -61,7 +65,7 @@
     args.to_options().descr("Router daemon of poplarspring").run()
 }
 
-async fn serve(settings: RouterSettings) -> anyhow::Result<()> {
+async fn serve(settings: RouterSettings, mut signals: StopSignals) -> anyhow::Result<()> {
     let metrics = base::metrics_client("poplar.router", settings.metrics)?;
     let context = RouterContext::new(settings, metrics);
     context.mark_control_thread();
@@ -85,15 +89,10 @@
     ntex::rt::spawn(run_granting(Arc::clone(&context), peers));
     ntex::rt::spawn(run_load_polling(Arc::clone(&context), platform.clone()));
     ntex::rt::spawn(run_placement(Arc::clone(&context), platform));
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+    signals.first().await;
     tokio::select! {
         () = drain(&context) => {}
-        _ = terminate.recv() => log_unfinished_requests(&context, "second signal"),
+        () = signals.second() => log_unfinished_requests(&context, "second signal"),
     }
     context.stop.cancel();
     peer_server.stop(false).await;
