--- a/crates/bench/tests/processes/slow_readers.rs
+++ b/crates/bench/tests/processes/slow_readers.rs
@@ -101,7 +101,7 @@
     }
 }
 
-fn plain_request(account: &str, path: &str, version: &str) -> Vec<u8> {
+pub fn plain_request(account: &str, path: &str, version: &str) -> Vec<u8> {
     format!(
         "GET /v1/call/{APP}{path} HTTP/{version}\r\nhost: x\r\n\
          authorization: Bearer demo-{account}\r\n\r\n"
@@ -134,7 +134,7 @@
 }
 
 /// Puts a proxy before each target and waits until the router uses them.
-async fn start_proxies(fleet: &mut RunningFleet, caller: &HttpCaller) -> anyhow::Result<()> {
+pub async fn start_proxies(fleet: &mut RunningFleet, caller: &HttpCaller) -> anyhow::Result<()> {
     for target in &mut fleet.targets {
         target.address = start_proxy(target.address)?;
     }
--- a/crates/bench/tests/processes/stop.rs
+++ b/crates/bench/tests/processes/stop.rs
@@ -1,16 +1,32 @@
-//! A router that is told to stop while it starts.
+//! A router that is told to stop while it starts, and while a caller reads its answer slowly.
 
-use std::io::Write;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::process::Command;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use bench::RunningFleet;
+use bench::{ExampleSite, FleetPlan, RunningFleet};
 use nix::sys::signal::Signal;
+use serde_json::json;
+use socket2::{Domain, Socket, Type};
 
-use crate::fixture::with_fleet;
+use crate::fixture::{ACCOUNT, with_fleet, with_plan};
+use crate::slow_readers::{plain_request, start_proxies};
 
 /// Time in which a router that stops must exit.
 const EXIT_TIMEOUT: Duration = Duration::from_secs(30);
+/// Memory of a router whose sockets have small buffers, in MiB.
+const MEMORY_MB: usize = 88;
+/// Receive buffer of a caller, in bytes.
+const SMALL_WINDOW: usize = 4 << 10;
+/// Length of the answer, in kilobytes, and how much of it is read at once and in a second, in
+/// bytes.
+const ANSWER_KB: usize = 97;
+const READ_BYTES: usize = 1 << 10;
+const READ_PACE: f64 = 20_000.0;
+const READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time between a request and the signal.
+const SIGNAL_DELAY: Duration = Duration::from_millis(300);
 
 /// Checks that the first router exits in order.
 fn check_exit(fleet: &mut RunningFleet) -> anyhow::Result<()> {
@@ -43,3 +59,54 @@
         });
     }
 }
+
+/// Sends a request on a connection with a small window, and reads `pace` bytes a second of the
+/// answer. Returns the length of its body.
+fn read_slowly(address: SocketAddr, request: &[u8], pace: f64) -> std::io::Result<usize> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_recv_buffer_size(SMALL_WINDOW)?;
+    socket.connect(&address.into())?;
+    let mut stream = TcpStream::from(socket);
+    stream.set_read_timeout(Some(READ_TIMEOUT))?;
+    stream.write_all(request)?;
+    let begun_at = Instant::now();
+    let mut received = Vec::new();
+    let mut buffer = [0; READ_BYTES];
+    let head_end = |received: &[u8]| {
+        received.windows(4).position(|four| four == b"\r\n\r\n").map_or(0, |end| end + 4)
+    };
+    while received.len() < head_end(&received) + (ANSWER_KB << 10) {
+        // A connection that breaks off ends the answer.
+        let count = stream.read(&mut buffer).unwrap_or_default();
+        if count == 0 {
+            break;
+        }
+        received.extend_from_slice(&buffer[..count]);
+        let due = Duration::from_secs_f64(received.len() as f64 / pace);
+        std::thread::sleep(due.saturating_sub(begun_at.elapsed()));
+    }
+    Ok(received.len() - head_end(&received))
+}
+
+fn plan() -> FleetPlan {
+    let resources = json!({ "descriptors": 4_100, "memory_mb": MEMORY_MB });
+    FleetPlan { replicas: Some((6, 3)), resources, ..FleetPlan::new(ExampleSite::Alliance, 1) }
+}
+
+/// Guards against an answer that is cut at a stop (LOST): its last part was handed to the
+/// connection, and the process exits before it is written.
+#[test]
+fn answer_that_is_read_slowly_beside_a_stop_is_whole() {
+    with_plan(plan(), |mut fleet, caller| async move {
+        start_proxies(&mut fleet, &caller).await?;
+        let request = plain_request(ACCOUNT, &format!("/length-{ANSWER_KB}"), "1.1");
+        let address = fleet.routers[0].address;
+        let reader = std::thread::spawn(move || read_slowly(address, &request, READ_PACE));
+        std::thread::sleep(SIGNAL_DELAY);
+        fleet.signal(0, Signal::SIGTERM)?;
+        check_exit(&mut fleet)?;
+        let received = reader.join().map_err(|_| anyhow::anyhow!("the reader failed"))??;
+        assert_eq!(received, ANSWER_KB << 10, "bytes of the answer");
+        Ok(())
+    });
+}
--- a/crates/router/src/caller.rs
+++ b/crates/router/src/caller.rs
@@ -25,7 +25,7 @@
 use crate::plain::{PlainCall, PlainResponse, run_plain};
 use crate::refusal::{Ran, Refusal, RefusalCode};
 use crate::stream::start_stream;
-use crate::taken_body::{BodySource, TakenBody};
+use crate::taken_body::{BodySource, OpenAnswer, TakenBody};
 use once::{KeyDecision, KeyOutcome};
 
 /// Maximum size of a request body, in bytes.
@@ -45,7 +45,8 @@
 const CALL_PREFIX: &str = "/v1/call/";
 
 /// Guard that counts a request as open until the guard is dropped.
-struct OpenRequest(Arc<RouterContext>);
+#[derive(Debug)]
+pub(crate) struct OpenRequest(Arc<RouterContext>);
 
 impl OpenRequest {
     fn new(context: &Arc<RouterContext>) -> Self {
@@ -156,7 +157,7 @@
         let spec = core.service_spec(service).ok_or_else(not_found)?;
         (spec.kind, spec.is_at_most_once(http.method().as_str(), &path))
     };
-    let guard = OpenRequest::new(context);
+    let guard = Arc::new(OpenRequest::new(context));
     let request = Request::new(id.to_owned(), account, service.into());
     context.metrics.incr("requests").ok();
     if kind == ServiceKind::Model {
@@ -165,9 +166,11 @@
         }
         let parsed = serde_json::from_slice::<Value>(&body).ok().filter(Value::is_object);
         let body = parsed.ok_or_else(|| request.refuse(RefusalCode::BadRequest))?;
-        let chunks = start_stream(context, request, body, Arc::clone(&held), guard).await?;
+        let chunks =
+            start_stream(context, request, body, Arc::clone(&held), Arc::clone(&guard)).await?;
         let source = BodySource::stream(chunks);
-        let body = TakenBody::new(source, Some(held), connection, part_timeout);
+        let answer = OpenAnswer { _request: guard, _held: Some(held) };
+        let body = TakenBody::new(source, answer, connection, part_timeout);
         return Ok(stream_response(body, http.version()));
     }
     let call = PlainCall {
@@ -180,9 +183,11 @@
     };
     let key = header_text(http, "idempotency-key").filter(|_| at_most_once);
     let response = match key {
-        Some(key) => handle_keyed(context, peers, request, call, key.into(), guard).await?,
+        Some(key) => {
+            handle_keyed(context, peers, request, call, key.into(), Arc::clone(&guard)).await?
+        }
         None if at_most_once => {
-            let running = run_detached(context, request, call, None, guard);
+            let running = run_detached(context, request, call, None, Arc::clone(&guard));
             running
                 .await
                 .map_err(|_| Refusal::outcome_unknown(RefusalCode::OutcomeUnknown, id))??
@@ -191,7 +196,8 @@
     };
     let (status, content_type) = (response.status, response.content_type);
     let source = BodySource::Buffered(response.body);
-    let body = TakenBody::new(source, response.held, connection, part_timeout);
+    let answer = OpenAnswer { _request: guard, _held: response.held };
+    let body = TakenBody::new(source, answer, connection, part_timeout);
     Ok(plain_response(status, content_type, body))
 }
 
@@ -212,7 +218,7 @@
     request: Request<Received>,
     call: PlainCall,
     key: Name,
-    guard: OpenRequest,
+    guard: Arc<OpenRequest>,
 ) -> Result<PlainResponse, Refusal> {
     let id = request.id.clone();
     let account = Name::clone(&request.account);
@@ -285,7 +291,7 @@
     request: Request<Received>,
     call: PlainCall,
     key: Option<Name>,
-    guard: OpenRequest,
+    guard: Arc<OpenRequest>,
 ) -> CallReceiver {
     let (sender, receiver) = tokio::sync::oneshot::channel();
     let context = Arc::clone(context);
--- a/crates/router/src/taken_body.rs
+++ b/crates/router/src/taken_body.rs
@@ -7,10 +7,11 @@
 use std::time::Duration;
 
 use hyper::body::Bytes;
-use inbound::BusyConnection;
+use inbound::{AnswerEnd, BusyConnection, HandedAnswer};
 use ntex::http::body::{BodySize, MessageBody};
 use tokio::time::Instant;
 
+use crate::caller::OpenRequest;
 use crate::held::HeldBytes;
 use crate::stream::ChunkReceiver;
 
@@ -29,25 +30,43 @@
     },
 }
 
+/// What an answer keeps until its last byte is written.
+#[derive(Debug)]
+pub(crate) struct OpenAnswer {
+    pub(crate) _request: Arc<OpenRequest>,
+    pub(crate) _held: Option<Arc<HeldBytes>>,
+}
+
+impl HandedAnswer for OpenAnswer {
+    fn end(self: Box<Self>, _end: AnswerEnd) {}
+}
+
 /// Body of a response. Until its caller has taken it, its bytes count against the memory of the
-/// process, and its connection is not idle.
+/// process, its connection is not idle, and its request is open.
 #[derive(Debug)]
 pub(crate) struct TakenBody {
     source: BodySource,
     connection: Option<BusyConnection>,
     /// Time that the caller has to take one part.
     part_timeout: Duration,
-    _held: Option<Arc<HeldBytes>>,
+    answer: Option<OpenAnswer>,
 }
 
 impl TakenBody {
     pub(crate) fn new(
         source: BodySource,
-        held: Option<Arc<HeldBytes>>,
+        answer: OpenAnswer,
         connection: Option<BusyConnection>,
         part_timeout: Duration,
     ) -> Self {
-        Self { source, connection, part_timeout, _held: held }
+        Self { source, connection, part_timeout, answer: Some(answer) }
+    }
+
+    /// Ends the answer, whose last part is being passed to the connection.
+    fn hand_over(&mut self) {
+        if let (Some(connection), Some(answer)) = (self.connection.take(), self.answer.take()) {
+            connection.hand_over(Box::new(answer));
+        }
     }
 }
 
@@ -56,6 +75,14 @@
         Self::Stream { chunks, chunk: Bytes::new() }
     }
 
+    /// Whether nothing is left to be passed on.
+    fn is_over(&self, part: &Poll<Option<Bytes>>) -> bool {
+        match self {
+            Self::Buffered(bytes) => bytes.is_empty(),
+            Self::Stream { .. } => matches!(part, Poll::Ready(None)),
+        }
+    }
+
     fn poll_part(&mut self, cx: &mut Context<'_>) -> Poll<Option<Bytes>> {
         match self {
             Self::Buffered(bytes) => Poll::Ready(next_part(bytes)),
@@ -100,6 +127,9 @@
                 Poll::Ready(None) | Poll::Pending => connection.clear_deadline(),
             }
         }
+        if self.source.is_over(&part) {
+            self.hand_over();
+        }
         part.map(|part| part.map(|part| Ok(ntex::util::Bytes::copy_from_slice(&part))))
     }
 }
