--- a/crates/bench/tests/processes/stop.rs
+++ b/crates/bench/tests/processes/stop.rs
@@ -24,6 +24,8 @@
 const ANSWER_KB: usize = 97;
 const READ_BYTES: usize = 1 << 10;
 const READ_PACE: f64 = 20_000.0;
+/// The same for an answer whose last part takes longer than a second.
+const CLOSE_PACE: f64 = 10_000.0;
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time between a request and the signal.
 const SIGNAL_DELAY: Duration = Duration::from_millis(300);
@@ -110,3 +112,16 @@
         Ok(())
     });
 }
+
+/// Guards against an answer whose end is cut (LOST) as its connection closes a second after the
+/// last part was handed to it.
+#[test]
+fn answer_that_is_read_slowly_before_a_close_is_whole() {
+    with_plan(plan(), |mut fleet, caller| async move {
+        start_proxies(&mut fleet, &caller).await?;
+        let request = plain_request(ACCOUNT, &format!("/length-{ANSWER_KB}"), "1.0");
+        let received = read_slowly(fleet.routers[0].address, &request, CLOSE_PACE)?;
+        assert_eq!(received, ANSWER_KB << 10, "bytes of the answer");
+        Ok(())
+    });
+}
--- a/crates/router/src/accept.rs
+++ b/crates/router/src/accept.rs
@@ -82,7 +82,8 @@
                 web::resource("/v1/call/{service}/{path}*").to(caller::call),
             ),
         );
-    inbound::serve(context, receiver, HttpService::h1(app), http_config(), connections).await;
+    let config = http_config(&context.settings);
+    inbound::serve(context, receiver, HttpService::h1(app), config, connections).await;
 }
 
 /// Measures how late the thread runs, and closes idle connections if there are close to as many
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -7,6 +7,7 @@
 use bpaf::{Parser, construct, long};
 use ntex::SharedCfg;
 use ntex::http::HttpServiceConfig;
+use ntex::io::IoConfig;
 use ntex::time::Seconds;
 use ntex::web::{self, App};
 
@@ -132,15 +133,19 @@
     tracing::warn!(unit = "run", event = "drain_ended", cause, cut);
 }
 
-pub(crate) fn http_config() -> SharedCfg {
+pub(crate) fn http_config(settings: &RouterSettings) -> SharedCfg {
     let config = HttpServiceConfig::new()
         .set_headers_read_rate(HEADER_TIMEOUT, HEADER_TIMEOUT, 1_024)
         .set_keepalive(Seconds(30));
-    SharedCfg::new("router").add(config).into()
+    // A connection that closes after its answer waits as long for its caller as any other.
+    let unread = Seconds(settings.unread_s.try_into().unwrap_or(u16::MAX));
+    let io_config = IoConfig::new().set_disconnect_timeout(unread);
+    SharedCfg::new("router").add(config).add(io_config).into()
 }
 
 fn serve_peers(context: &Arc<RouterContext>) -> anyhow::Result<ntex::server::Server> {
     let listen = context.settings.peer_listen;
+    let config = http_config(&context.settings);
     let context = Arc::clone(context);
     let server = web::server(async move || {
         context.mark_control_thread();
@@ -158,5 +163,5 @@
                 web::resource("/test/v1/cut").route(web::post().to(peer::cut)),
             ))
     });
-    Ok(server.workers(1).disable_signals().config(http_config()).bind(listen)?.run())
+    Ok(server.workers(1).disable_signals().config(config).bind(listen)?.run())
 }
