--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -7,9 +7,9 @@
 use bpaf::{Parser, construct, long};
 use ntex::SharedCfg;
 use ntex::http::HttpServiceConfig;
+use ntex::io::IoConfig;
 use ntex::time::Seconds;
 use ntex::web::{self, App};
-use tokio::signal::unix::{SignalKind, signal};
 
 use crate::accept::start_caller_server;
 use crate::client::{PeerClient, PlatformClient};
@@ -21,6 +21,7 @@
 use crate::peer;
 use crate::placing::run_placement;
 use crate::settings::{RouterSettings, ShareMode};
+use crate::signals::StopSignals;
 use crate::watch::run_document_watch;
 
 /// Interval at which a drain checks for open requests, in milliseconds.
@@ -41,16 +42,20 @@
 /// # Errors
 /// Returns an error if the settings are invalid or an address is in use.
 pub fn run() -> anyhow::Result<()> {
-    let args = parse_args();
-    let settings: RouterSettings = base::load_settings(&args.settings)?;
-    settings.check()?;
-    if args.print_config {
-        let redacted = RouterSettings { secret: "(hidden)".into(), ..settings };
-        println!("{}", serde_json::to_string_pretty(&redacted)?);
-        return Ok(());
-    }
-    base::init_logs(&settings.log);
-    ntex::rt::System::new("router", ntex::rt::DefaultRuntime).block_on(serve(settings))
+    ntex::rt::System::new("router", ntex::rt::DefaultRuntime).block_on(async {
+        // Until then a signal ends the process at once, so nothing is read or listens before.
+        let signals = StopSignals::subscribe()?;
+        let args = parse_args();
+        let settings: RouterSettings = base::load_settings(&args.settings)?;
+        settings.check()?;
+        if args.print_config {
+            let redacted = RouterSettings { secret: "(hidden)".into(), ..settings };
+            println!("{}", serde_json::to_string_pretty(&redacted)?);
+            return Ok(());
+        }
+        base::init_logs(&settings.log);
+        serve(settings, signals).await
+    })
 }
 
 fn parse_args() -> RouterArgs {
@@ -61,7 +66,7 @@
     args.to_options().descr("Router daemon of poplarspring").run()
 }
 
-async fn serve(settings: RouterSettings) -> anyhow::Result<()> {
+async fn serve(settings: RouterSettings, mut signals: StopSignals) -> anyhow::Result<()> {
     let metrics = base::metrics_client("poplar.router", settings.metrics)?;
     let context = RouterContext::new(settings, metrics);
     context.mark_control_thread();
@@ -85,15 +90,10 @@
     ntex::rt::spawn(run_granting(Arc::clone(&context), peers));
     ntex::rt::spawn(run_load_polling(Arc::clone(&context), platform.clone()));
     ntex::rt::spawn(run_placement(Arc::clone(&context), platform));
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+    signals.first().await;
     tokio::select! {
         () = drain(&context) => {}
-        _ = terminate.recv() => log_unfinished_requests(&context, "second signal"),
+        () = signals.second() => log_unfinished_requests(&context, "second signal"),
     }
     context.stop.cancel();
     peer_server.stop(false).await;
@@ -133,15 +133,19 @@
     tracing::warn!(unit = "run", event = "drain_ended", cause, cut);
 }
 
-pub(crate) fn http_config() -> SharedCfg {
+pub(crate) fn http_config(settings: &RouterSettings) -> SharedCfg {
     let config = HttpServiceConfig::new()
         .set_headers_read_rate(HEADER_TIMEOUT, HEADER_TIMEOUT, 1_024)
         .set_keepalive(Seconds(30));
-    SharedCfg::new("router").add(config).into()
+    // A connection that closes after its answer waits as long for its caller as any other.
+    let unread = Seconds(settings.unread_s.try_into().unwrap_or(u16::MAX));
+    let io_config = IoConfig::new().set_disconnect_timeout(unread);
+    SharedCfg::new("router").add(config).add(io_config).into()
 }
 
 fn serve_peers(context: &Arc<RouterContext>) -> anyhow::Result<ntex::server::Server> {
     let listen = context.settings.peer_listen;
+    let config = http_config(&context.settings);
     let context = Arc::clone(context);
     let server = web::server(async move || {
         context.mark_control_thread();
@@ -159,5 +163,5 @@
                 web::resource("/test/v1/cut").route(web::post().to(peer::cut)),
             ))
     });
-    Ok(server.workers(1).disable_signals().config(http_config()).bind(listen)?.run())
+    Ok(server.workers(1).disable_signals().config(config).bind(listen)?.run())
 }
