--- a/crates/gateway/src/cold.rs
+++ b/crates/gateway/src/cold.rs
@@ -2,14 +2,18 @@
 //! requests to them need.
 
 use std::collections::{BTreeMap, HashMap};
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use base::{Millis, Name};
 use cadence::prelude::*;
-use rate::{ColdAsk, ColdDecision, ColdLimit, ColdRequest, ColdResponse, RateKey, RequestClass};
+use rate::{
+    COLD_PERMIT_MS, ColdAsk, ColdDecision, ColdLimit, ColdRequest, ColdResponse, RateKey,
+    RequestClass,
+};
 use route::{ColdSpec, RouteTable};
-use target::{ColdTargets, TargetEntry, TargetRecord};
+use target::{ColdTargets, RecentSends, TargetEntry, TargetRecord};
 use tokio::sync::oneshot;
 
 use crate::context::GatewayContext;
@@ -21,10 +25,56 @@
 #[derive(Debug, Default)]
 pub(crate) struct ColdState {
     targets: ColdTargets,
+    /// Requests to all targets, counted only where the platform has a bound.
+    sends: RecentSends,
     /// End of the cold time of each target whose beginning was logged.
     logged: BTreeMap<Name, Millis>,
 }
 
+/// A permit of a target that is cold, or was so lately.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ColdPermit {
+    /// In milliseconds on this instance's clock.
+    pub(crate) expires_at: Millis,
+    pub(crate) origin: PermitOrigin,
+}
+
+/// Who issued a permit.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum PermitOrigin {
+    Own,
+    /// A request for which it was issued before was not sent.
+    Kept,
+    Peer(SocketAddr),
+}
+
+impl fmt::Display for PermitOrigin {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Own => formatter.write_str("Own"),
+            Self::Kept => formatter.write_str("Kept"),
+            Self::Peer(address) => address.fmt(formatter),
+        }
+    }
+}
+
+impl PermitOrigin {
+    fn metric(self) -> &'static str {
+        match self {
+            Self::Own => "cold_sent.own",
+            Self::Kept => "cold_sent.kept",
+            Self::Peer(_) => "cold_sent.peer",
+        }
+    }
+}
+
+/// What this instance knew of a target before it learned that the target is cold.
+#[derive(Clone, Copy, Debug)]
+struct FormerTarget {
+    /// `None` if it did not know the target.
+    incarnation: Option<u64>,
+}
+
 /// When the permit that a request waits for expires; `None` if it was denied.
 type ColdGrant = Option<Millis>;
 type ColdWaiters = HashMap<u64, (RateKey, oneshot::Sender<ColdGrant>)>;
@@ -50,16 +100,21 @@
 ) {
     let now = context.now();
     let is_known_at_start = context.source().revision == 0 && revision > 0;
-    let changed: Vec<&TargetEntry> = {
+    let changed: Vec<(&TargetEntry, FormerTarget)> = {
         let targets = &mut context.cold().targets;
         targets.expire(now);
-        let records = records.iter();
-        let changed = records.filter(|record| targets.record(record, is_known_at_start, now));
-        changed.filter_map(|record| record.entry.as_ref()).collect()
+        let changed = records.iter().filter_map(|record| {
+            let former = FormerTarget { incarnation: targets.incarnation(&record.id) };
+            let is_changed = targets.record(record, is_known_at_start, now);
+            record.entry.as_ref().filter(|_| is_changed).map(|entry| (entry, former))
+        });
+        changed.collect()
     };
     if let Some(table) = context.table() {
         let origin = format!("{origin:?}");
-        changed.into_iter().for_each(|entry| update_cold(context, &table, entry, &origin));
+        for (entry, former) in changed {
+            update_cold(context, &table, entry, former, &origin);
+        }
     }
 }
 
@@ -97,10 +152,19 @@
     let Some(table) = context.table() else { return };
     let known: Vec<TargetEntry> =
         context.targets().known().filter(|entry| is_affected(entry)).cloned().collect();
-    known.iter().for_each(|entry| update_cold(context, &table, entry, origin));
+    for entry in &known {
+        let former = FormerTarget { incarnation: Some(entry.incarnation) };
+        update_cold(context, &table, entry, former, origin);
+    }
 }
 
-fn update_cold(context: &GatewayContext, table: &RouteTable, entry: &TargetEntry, origin: &str) {
+fn update_cold(
+    context: &GatewayContext,
+    table: &RouteTable,
+    entry: &TargetEntry,
+    former: FormerTarget,
+    origin: &str,
+) {
     let now = context.now();
     let key = rate_key(entry);
     let Some(spec) = table.service(&entry.service).and_then(|service| service.cold) else {
@@ -120,16 +184,72 @@
     }
     context.cold().logged.insert(Name::clone(&entry.id), until);
     if begins {
+        let (target, incarnation) = (&entry.id, entry.incarnation);
+        let sent_before = context.cold().sends.count(target, now);
+        context.metrics.incr(&format!("cold_begun.{}", origin.to_lowercase())).ok();
+        context.metrics.count("cold_sent.before", sent_before as i64).ok();
+        tracing::info!(
+            unit = "limits",
+            event = "cold",
+            %target,
+            incarnation,
+            known = former.incarnation.is_some(),
+            known_incarnation = former.incarnation,
+            sent_before,
+            left_ms = until - now,
+            per_second = spec.per_second,
+            origin,
+        );
+    }
+}
+
+/// Counts a request that is written to a target, and logs it if its target is cold or was so
+/// lately.
+pub(crate) fn record_written(
+    context: &GatewayContext,
+    request: &str,
+    entry: &TargetEntry,
+    permit: Option<ColdPermit>,
+) {
+    let now = context.now();
+    if context.settings.bounds.cold().is_some() {
+        context.cold().sends.record(&entry.id, now);
+    }
+    let Some(permit) = permit else { return };
+    let left_ms = permit.expires_at.saturating_sub(now);
+    let is_cold = context.limits().is_cold(rate_key(entry), now);
+    context.metrics.incr(permit.origin.metric()).ok();
+    tracing::info!(
+        unit = "limits",
+        event = "cold_sent",
+        request,
+        target = %entry.id,
+        incarnation = entry.incarnation,
+        is_cold,
+        issuer = %permit.origin,
+        age_ms = COLD_PERMIT_MS.saturating_sub(left_ms),
+        left_ms,
+    );
+}
+
+/// Logs that nothing of a request to a target that is cold was written after all.
+pub(crate) fn record_unwritten(
+    context: &GatewayContext,
+    request: &str,
+    entry: &TargetEntry,
+    permit: Option<ColdPermit>,
+) {
+    if permit.is_some() {
+        context.metrics.incr("cold_sent.undone").ok();
         let target = &entry.id;
-        let left_ms = until - now;
-        let per_second = spec.per_second;
-        tracing::info!(unit = "limits", event = "cold", %target, left_ms, per_second, origin);
+        tracing::info!(unit = "limits", event = "cold_not_sent", request, %target);
     }
 }
 
 /// Logs the targets whose cold time has ended.
 pub(crate) fn log_warm_targets(context: &GatewayContext) {
     let now = context.now();
+    context.cold().sends.expire(now);
     let ended: Vec<(Name, Millis)> = {
         let logged = &mut context.cold().logged;
         logged.extract_if(.., |_, until| *until <= now).collect()
@@ -174,7 +294,10 @@
 ) -> Option<Result<SendPermit, Millis>> {
     let decision = context.limits().acquire_cold(key, class, context.now())?;
     Some(match decision {
-        ColdDecision::Granted { expires_at } => Ok(SendPermit::cold(context, key, expires_at)),
+        ColdDecision::Granted { expires_at, is_kept } => {
+            let origin = if is_kept { PermitOrigin::Kept } else { PermitOrigin::Own };
+            Ok(SendPermit::new_cold(context, key, ColdPermit { expires_at, origin }))
+        }
         ColdDecision::Unavailable { retry_ms } => Err(retry_ms),
         ColdDecision::Ask(ask) => ask_issuer(context, key, ask).await,
     })
@@ -195,7 +318,8 @@
     match result {
         Ok(Ok(Some(expires_at))) => {
             context.metrics.incr("permits.granted").ok();
-            Ok(SendPermit::cold(context, key, expires_at))
+            let origin = PermitOrigin::Peer(issuer);
+            Ok(SendPermit::new_cold(context, key, ColdPermit { expires_at, origin }))
         }
         Ok(Ok(None)) => {
             context.metrics.incr("permits.denied").ok();
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -16,7 +16,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 
-use crate::cold::acquire_cold;
+use crate::cold::{ColdPermit, acquire_cold};
 use crate::context::GatewayContext;
 use crate::messages::{PeerMessage, encode_peer_message};
 use crate::offers::retain_models;
@@ -61,28 +61,36 @@
     context: Arc<GatewayContext>,
     /// `None` if the target names no limit.
     key: Option<RateKey>,
-    /// When a permit of a target that is cold, or was so lately, expires.
-    expires_at: Option<Millis>,
+    /// The permit of a target that is cold, or was so lately.
+    cold: Option<ColdPermit>,
     is_used: bool,
 }
 
 impl SendPermit {
     fn new(context: &Arc<GatewayContext>, key: Option<RateKey>) -> Self {
-        Self { context: Arc::clone(context), key, expires_at: None, is_used: false }
+        Self { context: Arc::clone(context), key, cold: None, is_used: false }
     }
 
     /// Creates a permit of a target that is cold, or was so lately.
-    pub(crate) fn cold(context: &Arc<GatewayContext>, key: RateKey, expires_at: Millis) -> Self {
-        let mut permit = Self::new(context, Some(key));
-        permit.expires_at = Some(expires_at);
-        permit
+    pub(crate) fn new_cold(
+        context: &Arc<GatewayContext>,
+        key: RateKey,
+        permit: ColdPermit,
+    ) -> Self {
+        let context = Arc::clone(context);
+        Self { context, key: Some(key), cold: Some(permit), is_used: false }
+    }
+
+    /// Returns the permit of a target that is cold, or was so lately.
+    pub(crate) fn cold(&self) -> Option<ColdPermit> {
+        self.cold
     }
 
     /// Whether the request may be written now: the permit has not expired, and the target has not
     /// become cold since a permit without a time was acquired.
     pub(crate) fn is_valid(&self, entry: &TargetEntry, now: Millis) -> bool {
-        match self.expires_at {
-            Some(expires_at) => now < expires_at,
+        match self.cold {
+            Some(permit) => now < permit.expires_at,
             None => !self.context.limits().needs_cold_permit(rate_key(entry)),
         }
     }
@@ -102,8 +110,8 @@
     fn drop(&mut self) {
         if let Some(key) = self.key.filter(|_| !self.is_used) {
             let now = self.context.now();
-            match self.expires_at {
-                Some(expires_at) => self.context.limits().give_back_cold(key, expires_at),
+            match self.cold {
+                Some(permit) => self.context.limits().give_back_cold(key, permit.expires_at),
                 None => self.context.limits().give_back(key, now),
             }
         }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -15,7 +15,7 @@
 
 use crate::answers::{record_backoff, record_leaving};
 use crate::call::AdmittedCall;
-use crate::cold::record_answered;
+use crate::cold::{record_answered, record_unwritten, record_written};
 use crate::context::GatewayContext;
 use crate::crashes::{crash_suspects, may_retry, record_complete, record_crash};
 use crate::headers::build_request;
@@ -394,9 +394,11 @@
             placement.record_written(sent_at);
         }
         permit.set_used(true);
+        record_written(context, call.routed.id(), &outstanding.entry, permit.cold());
         let result = connection.exchange(request).await;
         if result.as_ref().is_err_and(ExchangeError::is_unsent) {
             permit.set_used(false);
+            record_unwritten(context, call.routed.id(), &outstanding.entry, permit.cold());
         }
         match result {
             Ok(response) => break (connection, response, sent_at),
--- a/crates/rate/src/cold.rs
+++ b/crates/rate/src/cold.rs
@@ -16,7 +16,7 @@
 
 /// Time in milliseconds after the request for a permit within which the permit of a cold target
 /// is used.
-pub(crate) const COLD_PERMIT_MS: Millis = 200;
+pub const COLD_PERMIT_MS: Millis = 200;
 /// Time in milliseconds between the writing of a request and its arrival at the target.
 const ARRIVAL_MS: Millis = 50;
 /// Length in seconds of the interval in which the permits were issued whose requests arrive in
--- a/crates/rate/src/cold_permits.rs
+++ b/crates/rate/src/cold_permits.rs
@@ -25,7 +25,11 @@
 #[derive(Clone, Copy, Debug)]
 pub enum ColdDecision {
     /// The request may be sent before this time, in milliseconds on this instance's clock.
-    Granted { expires_at: Millis },
+    Granted {
+        expires_at: Millis,
+        /// Whether it is a permit of an earlier request that was not sent.
+        is_kept: bool,
+    },
     /// The issuer must be asked.
     Ask(ColdAsk),
     /// Not now.
@@ -186,7 +190,7 @@
         let ColdPermits { bounds, targets, pending, issuer } = &mut self.cold;
         let (target, bounds) = (targets.get_mut(&key)?, (*bounds)?);
         if let Some(expires_at) = target.take_unused(now) {
-            return Some(ColdDecision::Granted { expires_at });
+            return Some(ColdDecision::Granted { expires_at, is_kept: true });
         }
         let denied_until = target.denied_until(class);
         if now < denied_until {
@@ -199,7 +203,8 @@
             let outcome = issuer.issue(key, ask, &self.cold_fleet, bounds, now);
             return match outcome {
                 ColdOutcome::Granted => {
-                    Some(ColdDecision::Granted { expires_at: now + COLD_PERMIT_MS })
+                    let expires_at = now + COLD_PERMIT_MS;
+                    Some(ColdDecision::Granted { expires_at, is_kept: false })
                 }
                 ColdOutcome::Denied { retry_ms } => {
                     target.deny(class, now + retry_ms);
--- a/crates/rate/src/lib.rs
+++ b/crates/rate/src/lib.rs
@@ -37,7 +37,7 @@
 mod message;
 mod settings;
 
-pub use cold::{ColdBounds, ColdLimit};
+pub use cold::{COLD_PERMIT_MS, ColdBounds, ColdLimit};
 pub use cold_permits::{ColdAsk, ColdDecision};
 pub use facts::{LimitChange, LimitFact};
 pub use fleet::{FleetView, LivePeer};
--- a/crates/rate/tests/cold/limits.rs
+++ b/crates/rate/tests/cold/limits.rs
@@ -64,14 +64,14 @@
     let mut acquire = |now| limiter.acquire_cold(key(), RequestClass::Regular, now);
     assert!(matches!(acquire(START_MS), Some(ColdDecision::Unavailable { .. })));
     let granted_at = START_MS + 500;
-    let Some(ColdDecision::Granted { expires_at }) = acquire(granted_at) else {
+    let Some(ColdDecision::Granted { expires_at, .. }) = acquire(granted_at) else {
         panic!("no permit after half a second");
     };
     assert!(expires_at <= granted_at + 200, "valid for {} ms", expires_at - granted_at);
     limiter.give_back_cold(key(), expires_at);
     let again = limiter.acquire_cold(key(), RequestClass::Regular, granted_at + 100);
     assert!(
-        matches!(again, Some(ColdDecision::Granted { expires_at: at }) if at == expires_at),
+        matches!(again, Some(ColdDecision::Granted { expires_at: at, .. }) if at == expires_at),
         "{again:?}"
     );
 }
--- a/crates/rate/tests/cold/simulation.rs
+++ b/crates/rate/tests/cold/simulation.rs
@@ -405,7 +405,9 @@
         let own_now = self.now - instance.started_at;
         match instance.limiter.acquire_cold(key(target), RequestClass::Regular, own_now) {
             None => self.connect(index, target, u64::MAX),
-            Some(ColdDecision::Granted { expires_at }) => self.connect(index, target, expires_at),
+            Some(ColdDecision::Granted { expires_at, .. }) => {
+                self.connect(index, target, expires_at)
+            }
             Some(ColdDecision::Unavailable { .. }) => {}
             Some(ColdDecision::Ask(ask)) => {
                 let number = ask.request.number;
--- a/crates/target/src/cold.rs
+++ b/crates/target/src/cold.rs
@@ -113,6 +113,11 @@
         until.max(record.entry_until)
     }
 
+    /// Returns the incarnation of a target by its last entry; `None` if it is not known.
+    pub fn incarnation(&self, id: &str) -> Option<u64> {
+        self.records.get(id).map(|record| record.incarnation)
+    }
+
     /// Forgets targets that were removed long ago.
     pub fn expire(&mut self, now: Millis) {
         let is_recent = |at: Millis| now.saturating_sub(at) < REMEMBER_MS;
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -14,6 +14,7 @@
 mod outage;
 mod registry;
 mod selection;
+mod sends;
 
 pub use backoff::{BackoffSettings, TargetBackoffs};
 pub use cold::ColdTargets;
@@ -34,3 +35,4 @@
     SelectionQuery, SelectionSettings, TargetCandidate, TargetSelection, mean_fullness,
     offer_candidates, select_target,
 };
+pub use sends::RecentSends;
