target: a refused connection means a restart, after which the target is cold (FAILBACK)

Nothing but a refused connection shows it. Change: ColdTargets takes a refused connection or a probe that is refused as the end of the incarnation. It needs permits until it has answered, and for its cold time after the first answer to any instance. Heartbeats tell it in a new last part, at once. Permits of the next incarnation are asked for under the key of the one that ended, so that there is one issuer while the entry spreads. Time-outs and resets are no evidence: sound targets behind cuts have them too.

--- a/crates/gateway/src/beats.rs
+++ b/crates/gateway/src/beats.rs
@@ -26,11 +26,12 @@
     ask_for_reports, forget_announcements, is_reported, record_demand, record_load, record_members,
     send_report,
 };
+use crate::downtime::{downtime_notices, merge_downtimes};
 use crate::fetch::{PeerFetch, fetch_from_peers};
 use crate::messages::{
-    ConfigurationNotice, HeartbeatNotice, HeartbeatPayload, LeavingNotice, MAX_HEARTBEAT_BYTES,
-    NO_RECORDS, PeerDatagram, PeerMessage, RouterCondition, append_part, decode_heartbeat,
-    decode_peer_message, is_peer_message,
+    ConfigurationNotice, DowntimeList, HeartbeatNotice, HeartbeatPayload, LeavingNotice,
+    MAX_HEARTBEAT_BYTES, NO_RECORDS, PeerDatagram, PeerMessage, RouterCondition, append_part,
+    decode_heartbeat, decode_peer_message, is_peer_message,
 };
 use crate::offers::{
     answer_offer_request, handle_offer_response, record_placement, record_report, send_reports,
@@ -140,6 +141,11 @@
     let condition = RouterCondition { is_saturated: context.accept_policy().is_saturated() };
     let configuration = ConfigurationNotice { version: context.versions().version() };
     let leaving = LeavingNotice { targets: context.targets().leaving_notices(now) };
+    let downtimes = DowntimeList { targets: downtime_notices(context) };
+    // Parts are told apart by their order, so each one needs those before it.
+    let has_downtimes = !downtimes.targets.is_empty();
+    let has_leaving = has_downtimes || !leaving.targets.is_empty();
+    let has_limits = has_leaving || !limits.is_empty();
     loop {
         let mut bytes = rmp_serde::to_vec(&heartbeat).unwrap_or_else(|cause| {
             tracing::error!(unit = "beats", event = "not_encoded", %cause);
@@ -148,16 +154,18 @@
         append_part(&mut bytes, &notice);
         append_part(&mut bytes, &condition);
         append_part(&mut bytes, &configuration);
-        // Parts are told apart by their order.
-        if !quarantine.is_empty() || !limits.is_empty() || !leaving.targets.is_empty() {
+        if has_limits || !quarantine.is_empty() {
             append_part(&mut bytes, quarantine);
         }
-        if !limits.is_empty() || !leaving.targets.is_empty() {
+        if has_limits {
             append_part(&mut bytes, limits);
         }
-        if !leaving.targets.is_empty() {
+        if has_leaving {
             append_part(&mut bytes, &leaving);
         }
+        if has_downtimes {
+            append_part(&mut bytes, &downtimes);
+        }
         let payload = &mut heartbeat.payload;
         if bytes.len() <= MAX_HEARTBEAT_BYTES
             || (payload.accounts.is_empty() && payload.targets.is_empty())
@@ -347,8 +355,16 @@
     fetch_sender: &mpsc::Sender<PeerFetch>,
 ) -> HeartbeatOutcome {
     let now = context.now();
-    let PeerDatagram { heartbeat, notice, condition, configuration, quarantine, limits, leaving } =
-        datagram;
+    let PeerDatagram {
+        heartbeat,
+        notice,
+        condition,
+        configuration,
+        quarantine,
+        limits,
+        leaving,
+        downtimes,
+    } = datagram;
     let Heartbeat { header, payload } = heartbeat;
     let serves_same_callers = header.domain == context.settings.failure_domain;
     let is_reported = is_reported(context, &header.domain, now);
@@ -374,6 +390,7 @@
     }
     merge_limits(context, &limits);
     merge_leaving(context, &peer, leaving.targets);
+    merge_downtimes(context, &peer, &downtimes.targets);
     if serves_same_callers && !is_draining {
         context.accept_policy().record_other(peer, condition.is_saturated, now);
     }
--- a/crates/gateway/src/cold.rs
+++ b/crates/gateway/src/cold.rs
@@ -24,13 +24,19 @@
 /// Cold times of the targets.
 #[derive(Debug, Default)]
 pub(crate) struct ColdState {
-    targets: ColdTargets,
+    pub(crate) targets: ColdTargets,
     /// Requests to all targets, counted only where the platform has a bound.
     sends: RecentSends,
     /// End of the cold time of each target whose beginning was logged.
     logged: BTreeMap<Name, Millis>,
 }
 
+impl ColdState {
+    pub(crate) fn has_downtime_notices(&self, now: Millis) -> bool {
+        self.targets.has_downtime_notices(now)
+    }
+}
+
 /// A permit of a target that is cold, or was so lately.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ColdPermit {
@@ -144,7 +150,7 @@
     }
 }
 
-fn update_known(
+pub(crate) fn update_known(
     context: &GatewayContext,
     origin: &str,
     is_affected: impl Fn(&TargetEntry) -> bool,
@@ -171,7 +177,12 @@
         context.limits().set_cold(key, None, now);
         return;
     };
-    let until = context.cold().targets.cold_until(&entry.id, spec.start_ms);
+    let (until, permit_incarnation) = {
+        let targets = &context.cold().targets;
+        let until = targets.cold_until(&entry.id, spec.start_ms);
+        let down_until = targets.down_until(&entry.id, spec.start_ms, now);
+        (until.max(down_until), targets.permit_incarnation(&entry.id))
+    };
     // A later entry may say that a target of a domain that was taken back is not cold.
     if until <= now && !context.limits().is_cold(key, now) {
         return;
@@ -182,6 +193,9 @@
     if !context.limits().needs_cold_permit(key) {
         return;
     }
+    if let Some(incarnation) = permit_incarnation {
+        context.limits().set_permit_key(key, RateKey::new(&entry.id, incarnation));
+    }
     context.cold().logged.insert(Name::clone(&entry.id), until);
     if begins {
         let (target, incarnation) = (&entry.id, entry.incarnation);
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -11,6 +11,7 @@
 
 use crate::call::{AdmittedCall, RoutedCall};
 use crate::context::GatewayContext;
+use crate::downtime::record_refused;
 use crate::parts::PartList;
 use crate::refusal::{Refusal, RefusalCause};
 use crate::worker::Worker;
@@ -113,7 +114,9 @@
 pub(crate) fn record_crash(worker: &Rc<Worker>, entry: &Arc<TargetEntry>, suspects: Vec<u64>) {
     let (worker, entry) = (Rc::clone(worker), Arc::clone(entry));
     ntex::rt::spawn(async move {
+        let probed_at = worker.context.now();
         if probe_listener(entry.address, PROBE_TIMEOUT).await == ListenerState::Refused {
+            record_refused(&worker.context, &entry, probed_at);
             record_confirmed_crash(&worker.context, &entry, &suspects);
         }
     });
--- a/crates/gateway/src/domains.rs
+++ b/crates/gateway/src/domains.rs
@@ -72,7 +72,8 @@
     let quarantine = context.quarantine().notice_for_one(now);
     let limits = context.limits().notice(now);
     let has_leaving = !context.targets().leaving_notices(now).is_empty();
-    if quarantine.is_empty() && limits.is_empty() && !has_leaving {
+    let has_downtimes = context.cold().has_downtime_notices(now);
+    if quarantine.is_empty() && limits.is_empty() && !has_leaving && !has_downtimes {
         return;
     }
     let heartbeat = encode_heartbeat(context, &quarantine, &limits);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod context;
 mod crashes;
 mod domains;
+mod downtime;
 mod fetch;
 mod follow;
 mod headers;
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -12,8 +12,8 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use target::{
-    DomainListing, InFlightLoad, InFlightTotals, LeavingTarget, LeftTarget, TargetIdHash,
-    TargetRecord,
+    DomainListing, DowntimeNotice, InFlightLoad, InFlightTotals, LeavingTarget, LeftTarget,
+    TargetIdHash, TargetRecord,
 };
 use work::{OfferRequest, OfferResponse, PlacementNotice, WorkReport};
 
@@ -66,6 +66,7 @@
     pub(crate) quarantine: QuarantineNotice,
     pub(crate) limits: LimitNotice,
     pub(crate) leaving: LeavingNotice,
+    pub(crate) downtimes: DowntimeList,
 }
 
 /// Targets that said in responses to the sender that they leave. It follows the limits in the
@@ -75,6 +76,13 @@
     pub(crate) targets: Vec<LeavingTarget>,
 }
 
+/// Targets that were seen not to listen, and may have started again under their names. It follows
+/// the targets that leave in the same datagram, where routers of earlier versions do not read it.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub(crate) struct DowntimeList {
+    pub(crate) targets: Vec<DowntimeNotice>,
+}
+
 /// First byte of a short message. MessagePack does not use it, so no heartbeat
 /// begins with it.
 const MESSAGE_MARKER: u8 = 0xc1;
@@ -184,7 +192,17 @@
     let quarantine = decode_part(&mut rest).unwrap_or_default();
     let limits = decode_part(&mut rest).unwrap_or_default();
     let leaving = decode_part(&mut rest).unwrap_or_default();
-    Ok(PeerDatagram { heartbeat, notice, condition, configuration, quarantine, limits, leaving })
+    let downtimes = decode_part(&mut rest).unwrap_or_default();
+    Ok(PeerDatagram {
+        heartbeat,
+        notice,
+        condition,
+        configuration,
+        quarantine,
+        limits,
+        leaving,
+        downtimes,
+    })
 }
 
 /// Decodes the next part of a datagram; `None` if it ends or is not understood.
--- a/crates/gateway/src/resources.rs
+++ b/crates/gateway/src/resources.rs
@@ -9,6 +9,7 @@
 
 use crate::cold::log_warm_targets;
 use crate::context::GatewayContext;
+use crate::downtime::update_unanswered;
 use crate::view::expire_domains;
 
 /// Time between two samples.
@@ -20,6 +21,7 @@
 pub(crate) async fn sample_resources(context: Arc<GatewayContext>) {
     while !context.shutdown.is_cancelled() {
         log_sample(&context);
+        update_unanswered(&context);
         log_warm_targets(&context);
         tokio::time::sleep(SAMPLE_PERIOD).await;
     }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -18,6 +18,7 @@
 use crate::cold::{record_answered, record_unwritten, record_written};
 use crate::context::GatewayContext;
 use crate::crashes::{crash_suspects, may_retry, record_complete, record_crash};
+use crate::downtime::{record_reached, record_refused};
 use crate::headers::build_request;
 use crate::offers::{Placement, record_service_load};
 use crate::parts::PartList;
@@ -360,6 +361,7 @@
     let may_have_run_before = attempts.may_have_run;
     let started_at = context.now();
     let (connection, response, sent_at) = loop {
+        let connecting_at = context.now();
         let mut connection = match worker.connection(&outstanding.entry, reuse).await {
             Ok(connection) => connection,
             Err(cause) => {
@@ -367,6 +369,9 @@
                     outstanding.finish(RequestOutcome::NotAttempted);
                     return AttemptEnd::OwnLack(cause.to_string(), refusal);
                 }
+                if cause.is_refused() {
+                    record_refused(context, &outstanding.entry, connecting_at);
+                }
                 outstanding.finish(RequestOutcome::Unreachable);
                 return AttemptEnd::NotSent(cause.to_string());
             }
@@ -443,6 +448,7 @@
     attempts.named_limit = metadata.rate_limit;
     let is_own_response = metadata.id.as_deref() == call.routed.received.metadata.id.as_deref();
     if is_own_response && response.status() != http::StatusCode::MISDIRECTED_REQUEST {
+        record_reached(context, &outstanding.entry, sent_at);
         record_limit(context, &outstanding.entry, metadata.rate_limit, sent_at);
         if metadata.is_leaving {
             record_leaving(context, &outstanding.entry);
--- a/crates/outbound/src/connection.rs
+++ b/crates/outbound/src/connection.rs
@@ -1,5 +1,6 @@
 //! A connection that carries one request at a time.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -48,7 +49,15 @@
     Sent { peer: SocketAddr, cause: String },
 }
 
+/// Step of a connection that the machine of the peer refused.
+const REFUSED_STEP: &str = "connect_refused";
+
 impl ExchangeError {
+    /// Whether the machine of the peer refused the connection, as no process listens.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::NotSent { step: REFUSED_STEP, .. })
+    }
+
     /// Whether no byte of the request was written.
     pub fn is_unsent(&self) -> bool {
         match self {
@@ -102,6 +111,10 @@
             let cause = cause.to_string();
             return Err(ExchangeError::Exhausted { step: "connect", peer, cause, is_sent: false });
         }
+        Ok(Err(cause)) if cause.kind() == io::ErrorKind::ConnectionRefused => {
+            let cause = cause.to_string();
+            return Err(ExchangeError::NotSent { step: REFUSED_STEP, peer, cause });
+        }
         Ok(Err(cause)) => return Err(not_sent(cause.to_string())),
         Err(_) => return Err(ExchangeError::TimedOut { peer, waited_ms: timeout.as_millis() }),
     };
--- a/crates/rate/src/cold_permits.rs
+++ b/crates/rate/src/cold_permits.rs
@@ -43,6 +43,8 @@
 #[derive(Debug)]
 struct ColdTarget {
     limit: ColdLimit,
+    /// Identifies the target in requests for permits; its own key unless it is set.
+    permit_key: RateKey,
     /// When each unused permit expires. An unused permit keeps its first time, so that it does not
     /// add to those that are issued later.
     unused: VecDeque<Millis>,
@@ -138,6 +140,7 @@
         let known = self.cold.targets.get(&key).map(|target| target.limit.until);
         let target = self.cold.targets.entry(key).or_insert_with(|| ColdTarget {
             limit,
+            permit_key: key,
             unused: VecDeque::new(),
             denied_until: 0,
             spare_denied_until: 0,
@@ -147,6 +150,14 @@
         now < limit.until && known.is_none_or(|until| until <= now)
     }
 
+    /// Sets under which key the permits of a cold target are issued: that of an earlier incarnation
+    /// for which other instances may still ask.
+    pub fn set_permit_key(&mut self, key: RateKey, permit_key: RateKey) {
+        if let Some(target) = self.cold.targets.get_mut(&key) {
+            target.permit_key = permit_key;
+        }
+    }
+
     /// Whether a request to a target needs a permit as it is cold, or was so lately.
     pub fn needs_cold_permit(&self, key: RateKey) -> bool {
         self.cold.targets.contains_key(&key)
@@ -196,11 +207,11 @@
         if now < denied_until {
             return Some(ColdDecision::Unavailable { retry_ms: denied_until - now });
         }
-        let Some(address) = self.fleet.issuer(key) else {
+        let Some(address) = self.fleet.issuer(target.permit_key) else {
             let answered = std::mem::take(&mut target.answered);
             let reserve = settings.reserve;
             let ask = ColdAskView { limit: target.limit, named, class, answered, reserve };
-            let outcome = issuer.issue(key, ask, &self.cold_fleet, bounds, now);
+            let outcome = issuer.issue(target.permit_key, ask, &self.cold_fleet, bounds, now);
             return match outcome {
                 ColdOutcome::Granted => {
                     let expires_at = now + COLD_PERMIT_MS;
@@ -231,7 +242,7 @@
         pending.insert(number, PendingAsk { key, class, asked_at: now, is_awaited: true });
         let request = ColdRequest {
             number,
-            key,
+            key: target.permit_key,
             fact,
             class,
             per_second: target.limit.per_second,
@@ -299,7 +310,8 @@
         };
         let until = if left_ms == 0 { 0 } else { now + left_ms.min(MAX_LEFT_MS) };
         // This instance may know that the target is cold, or tolerates less, before the peer.
-        let limit = match targets.get(&key).map(|target| target.limit) {
+        let known = targets.values().find(|target| target.permit_key == key);
+        let limit = match known.map(|target| target.limit) {
             Some(known) => ColdLimit {
                 per_second: known.per_second.min(per_second),
                 until: known.until.max(until),
--- a/crates/target/src/cold.rs
+++ b/crates/target/src/cold.rs
@@ -3,18 +3,23 @@
 //!
 //! Handles each record once by its revision, whoever sends it. A cold time is never shortened by
 //! what is learned later, except for that of a domain that was taken back, which an entry
-//! written after that replaces.
+//! written after that replaces. What is known of a process that was seen not to listen counts
+//! beside the records, and whatever they say.
 
 use std::collections::HashMap;
 
 use base::{Millis, Name};
 
+use crate::downtime::{DowntimeNotice, TargetDowntimes};
 use crate::entry::TargetEntry;
 use crate::registry::TargetRecord;
 
 /// Time in milliseconds for which a removed target is remembered: its entry may have expired in an
 /// outage of the source and be published again, which is no new start.
 const REMEMBER_MS: Millis = 600_000;
+/// Least time in milliseconds for which a target that does not listen is taken for cold at a time:
+/// twice the time between two updates.
+const UNANSWERED_MS: Millis = 2_000;
 
 /// What an instance knows of the cold times of one target. All times are on its clock.
 #[derive(Clone, Debug)]
@@ -41,6 +46,7 @@
     /// Revision of the removal by which each failure domain was last taken back, and when this
     /// instance learned of it.
     taken_back: HashMap<Name, (u64, Millis)>,
+    downtimes: TargetDowntimes,
 }
 
 impl ColdTargets {
@@ -104,6 +110,69 @@
         true
     }
 
+    /// Records that the process of an entry refused a connection that was begun at `since`: it has
+    /// ended. Returns whether that is news for the peers.
+    pub fn record_refused(&mut self, entry: &TargetEntry, since: Millis, now: Millis) -> bool {
+        let current = self.incarnation(&entry.id);
+        current == Some(entry.incarnation)
+            && self.downtimes.record_refused(&entry.id, entry.incarnation, since, now)
+    }
+
+    /// Records that a target answered a request that was written at `sent_at`. Returns whether it
+    /// was seen not to listen before, and that is news for the peers.
+    pub fn record_answered(&mut self, entry: &TargetEntry, sent_at: Millis, now: Millis) -> bool {
+        self.downtimes.record_answered(&entry.id, entry.incarnation, sent_at, now)
+    }
+
+    /// Merges what a peer knows of a target that was seen not to listen. Returns whether that is
+    /// news.
+    pub fn merge_downtime(&mut self, notice: &DowntimeNotice, now: Millis) -> bool {
+        self.downtimes.merge(notice, now)
+    }
+
+    /// Returns what peers are to be told of targets that were seen not to listen.
+    pub fn downtime_notices(&mut self, now: Millis) -> Vec<DowntimeNotice> {
+        self.downtimes.notices(now)
+    }
+
+    /// Whether there is something to tell peers.
+    pub fn has_downtime_notices(&self, now: Millis) -> bool {
+        self.downtimes.has_notices(now)
+    }
+
+    /// Returns the targets that were seen not to listen and have not answered since: how long they
+    /// are cold is not known yet.
+    pub fn unanswered(&self) -> Vec<Name> {
+        self.downtimes.unanswered().cloned().collect()
+    }
+
+    /// Returns until when a target is cold as its process was seen not to listen; 0 if it was not.
+    /// Its cold time of `start_ms` milliseconds begins with its first answer at the latest.
+    pub fn down_until(&self, id: &str, start_ms: Millis, now: Millis) -> Millis {
+        let current = self.incarnation(id);
+        if current.is_none() {
+            return 0;
+        }
+        let downtime = self.downtimes.get(id);
+        // If a later process has ended, that of this entry has too.
+        let Some(downtime) = downtime.filter(|known| Some(known.incarnation) >= current) else {
+            return 0;
+        };
+        match downtime.answered_at {
+            Some(at) => at.saturating_add(start_ms),
+            None => now.saturating_add(start_ms.max(UNANSWERED_MS)),
+        }
+    }
+
+    /// Returns the incarnation under which permits for a target are issued. It is that of a process
+    /// that was seen not to listen before the target started again, as some instances may still
+    /// have its entry: two issuers would each issue the whole rate.
+    pub fn permit_incarnation(&self, id: &str) -> Option<u64> {
+        let current = self.incarnation(id)?;
+        let downtime = self.downtimes.get(id).filter(|known| known.permit_incarnation <= current);
+        Some(downtime.map_or(current, |known| known.permit_incarnation))
+    }
+
     /// Returns until when a target is cold, if `start_ms` is the cold time of its service in
     /// milliseconds; 0 if it never was.
     pub fn cold_until(&self, id: &str, start_ms: Millis) -> Millis {
@@ -122,6 +191,7 @@
     pub fn expire(&mut self, now: Millis) {
         let is_recent = |at: Millis| now.saturating_sub(at) < REMEMBER_MS;
         self.records.retain(|_, record| record.removed_at.is_none_or(is_recent));
+        self.downtimes.expire(now);
     }
 }
 
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -4,6 +4,7 @@
 mod backoff;
 mod cold;
 mod domains;
+mod downtime;
 mod entry;
 mod evacuation;
 mod fullness;
@@ -18,6 +19,7 @@
 
 pub use backoff::{BackoffSettings, TargetBackoffs};
 pub use cold::ColdTargets;
+pub use downtime::DowntimeNotice;
 pub use entry::{TargetEntry, TargetState};
 pub use evacuation::{DomainChange, DomainListing, DomainRecord, DomainReturn};
 pub use fullness::FullnessSamples;
