messages: a configuration that a peer passes on says which targets may be cold (FAILBACK)

Cause: parts of a response are told apart by their order. A configuration on its own lacked the part with the evacuated domains, so the receiver took the services with cold targets for that part, and knew of none. Each gateway that has its configuration from a peer, all but the readers, then sent to cold targets as to warm ones, until the next fetch of changes from a peer completed it; a reader that had it from a peer before it became one, for longer. A new configuration also ended the cold times that were running there. Change: the part is sent, empty. A response of a version before is read as it is: what is not understood as domains is read as the next part. The `configuration` line says of how many services targets may be cold.

--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -348,6 +348,7 @@
     append_part(&mut bytes, &ConfigurationNotice { version: Some(table.version) });
     append_part(&mut bytes, &SoftwareNotice::of(&[]));
     append_part(&mut bytes, &VersionNotice::default());
+    append_part(&mut bytes, &DomainListing::default());
     append_part(&mut bytes, &ColdNotice::of(Some(table)));
     Ok(bytes)
 }
@@ -379,7 +380,12 @@
     let software: SoftwareNotice = decode_part(&mut body).unwrap_or_default();
     software.apply(&mut response.records);
     let versions = decode_part(&mut body).unwrap_or_default();
+    let before_domains = body;
     let domains = decode_part(&mut body);
+    if domains.is_none() {
+        // Routers of earlier versions leave the domains out beside a configuration.
+        body = before_domains;
+    }
     let cold: ColdNotice = decode_part(&mut body).unwrap_or_default();
     if let Some(table) = &mut response.table
         && Some(table.version) == cold.version
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -47,6 +47,7 @@
         let version = table.version;
         let capacity = table.capacity_tokens_per_s;
         let cold_specs = table.cold_specs();
+        let cold_services = cold_specs.len();
         // Before requests are routed by it.
         record_moves(context, &table, now);
         let verdict = context.versions().offer(table);
@@ -58,6 +59,7 @@
                 unit = "view",
                 event = "configuration",
                 version,
+                cold_services,
                 ?verdict,
                 ?origin,
                 behind_ms,
