--- a/crates/rate/tests/cold/main.rs
+++ b/crates/rate/tests/cold/main.rs
@@ -3,6 +3,7 @@
 mod limits;
 #[path = "../../../quarantine/tests/common/random.rs"]
 mod random;
+mod restart;
 mod simulation;
 
 use proptest::prelude::*;
