cold targets: an instance that starts later knows when a domain was taken back (FAILBACK)

Cause: the answers of peers list the domains that were taken back, with ages. Change: each domain that a peer lists as taken back counts, from the time that the peer tells; the age may be larger than the instance's clock. A test without network has the ages: cold for the rest of the time, and not at all 10 minutes later.

--- a/crates/gateway/src/cold.rs
+++ b/crates/gateway/src/cold.rs
@@ -126,9 +126,15 @@
 
 /// Records that a failure domain was taken back from an evacuation by the removal of its key at
 /// `revision` of the source: its targets are cold unless they have written their entries since.
-pub(crate) fn record_taken_back(context: &GatewayContext, domain: &Name, revision: u64) {
+/// This instance or a peer has known it for `age` milliseconds.
+pub(crate) fn record_taken_back(
+    context: &GatewayContext,
+    domain: &Name,
+    revision: u64,
+    age: Millis,
+) {
     let now = context.now();
-    if context.cold().targets.record_taken_back(domain, revision, now) {
+    if context.cold().targets.record_taken_back_before(domain, revision, age, now) {
         update_known(context, "TakenBack", |entry| entry.failure_domain == *domain);
     }
 }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -130,6 +130,11 @@
 
 /// Merges what a peer knows of evacuated failure domains.
 pub(crate) fn apply_peer_domains(context: &GatewayContext, listing: DomainListing) {
+    // An instance that has started since knows nothing of the evacuation either.
+    let returned = listing.records.iter().zip(&listing.ages);
+    for (record, age) in returned.filter(|(record, _)| !record.is_evacuated) {
+        record_taken_back(context, &record.domain, record.revision, *age);
+    }
     let changes = context.targets().merge_peer_domains(listing, context.now());
     record_domain_changes(context, &changes, UpdateOrigin::Peer);
 }
@@ -151,7 +156,7 @@
 ) {
     let taken_back = changes.iter().filter(|(_, change)| *change == DomainChange::TakenBack);
     for (record, _) in taken_back {
-        record_taken_back(context, &record.domain, record.revision);
+        record_taken_back(context, &record.domain, record.revision, 0);
     }
     let now = context.now();
     let behind_ms = context.source().behind_since.map(|since| now.saturating_sub(since));
--- a/crates/target/src/cold.rs
+++ b/crates/target/src/cold.rs
@@ -34,18 +34,32 @@
     /// When this instance learned that it had started; `None` if it ran before this instance.
     started_at: Option<Millis>,
     /// When its failure domain was taken back, unless a later entry says whether it is cold.
-    taken_back_at: Option<Millis>,
+    taken_back: Option<TakenBack>,
     /// When it was removed.
     removed_at: Option<Millis>,
 }
 
+/// The end of the last evacuation of a failure domain.
+#[derive(Clone, Copy, Debug)]
+struct TakenBack {
+    /// Revision of the removal of its key.
+    revision: u64,
+    learned_at: Millis,
+    /// Milliseconds from the end until this instance learned of it: it may have started since.
+    age: Millis,
+}
+
+impl TakenBack {
+    fn cold_until(self, start_ms: Millis) -> Millis {
+        self.learned_at.saturating_add(start_ms).saturating_sub(self.age)
+    }
+}
+
 /// Cold times of all targets that one instance knows.
 #[derive(Debug, Default)]
 pub struct ColdTargets {
     records: HashMap<Name, ColdRecord>,
-    /// Revision of the removal by which each failure domain was last taken back, and when this
-    /// instance learned of it.
-    taken_back: HashMap<Name, (u64, Millis)>,
+    taken_back: HashMap<Name, TakenBack>,
     downtimes: TargetDowntimes,
 }
 
@@ -73,20 +87,20 @@
                 revision: 0,
                 entry_until: 0,
                 started_at: (!is_known_at_start).then_some(now),
-                taken_back_at: None,
+                taken_back: None,
                 removed_at: None,
             },
         };
         let left_ms = entry.warm_up_ms;
         let named_until = if left_ms > 0 { now.saturating_add(left_ms) } else { 0 };
         let taken_back = self.taken_back.get(&entry.failure_domain);
-        let taken_back = taken_back.filter(|(revision, _)| *revision >= record.revision);
+        let taken_back = taken_back.filter(|taken_back| taken_back.revision >= record.revision);
         let next = ColdRecord {
             service: Name::clone(&entry.service),
             domain: Name::clone(&entry.failure_domain),
             revision: record.revision,
             entry_until: next.entry_until.max(named_until),
-            taken_back_at: taken_back.map(|(_, at)| *at),
+            taken_back: taken_back.copied(),
             removed_at: None,
             ..next
         };
@@ -98,14 +112,26 @@
     /// at `revision`. Returns whether that is new; its targets are then cold unless their entries
     /// were written later.
     pub fn record_taken_back(&mut self, domain: &Name, revision: u64, now: Millis) -> bool {
+        self.record_taken_back_before(domain, revision, 0, now)
+    }
+
+    /// The same, by a peer that has known it for `age` milliseconds.
+    pub fn record_taken_back_before(
+        &mut self,
+        domain: &Name,
+        revision: u64,
+        age: Millis,
+        now: Millis,
+    ) -> bool {
         let known = self.taken_back.get(domain);
-        if known.is_some_and(|(known, _)| *known >= revision) {
+        if known.is_some_and(|known| known.revision >= revision) {
             return false;
         }
-        self.taken_back.insert(Name::clone(domain), (revision, now));
+        let taken_back = TakenBack { revision, learned_at: now, age };
+        self.taken_back.insert(Name::clone(domain), taken_back);
         let records = self.records.values_mut().filter(|record| record.domain == *domain);
         for record in records.filter(|record| record.revision <= revision) {
-            record.taken_back_at = Some(now);
+            record.taken_back = Some(taken_back);
         }
         true
     }
@@ -177,9 +203,10 @@
     /// milliseconds; 0 if it never was.
     pub fn cold_until(&self, id: &str, start_ms: Millis) -> Millis {
         let Some(record) = self.records.get(id) else { return 0 };
-        let starts = record.started_at.into_iter().chain(record.taken_back_at);
-        let until = starts.map(|at| at.saturating_add(start_ms)).max().unwrap_or_default();
-        until.max(record.entry_until)
+        let start_until = record.started_at.map_or(0, |at| at.saturating_add(start_ms));
+        let return_until =
+            record.taken_back.map_or(0, |taken_back| taken_back.cold_until(start_ms));
+        start_until.max(return_until).max(record.entry_until)
     }
 
     /// Returns the incarnation of a target by its last entry; `None` if it is not known.
--- a/crates/target/tests/cold.rs
+++ b/crates/target/tests/cold.rs
@@ -89,3 +89,17 @@
     targets.record(&record(7, 0, 6), false, 20_200);
     assert_eq!(targets.cold_until(ID, START_MS), 0);
 }
+
+/// Guards against an instance that starts just after a domain was taken back and takes its targets
+/// for warm, and against one that takes them for cold long after that.
+#[test]
+fn an_instance_that_starts_later_knows_since_when_a_domain_is_back() {
+    for (age, until) in [(1_000, 100 + START_MS - 1_000), (600_000, 0)] {
+        let mut targets = ColdTargets::default();
+        assert!(targets.record_taken_back_before(&"a".into(), 5, age, 100));
+        targets.record(&record(7, 0, 4), true, 150);
+        assert_eq!(targets.cold_until(ID, START_MS), until);
+        targets.record(&record(7, 0, 6), false, 160);
+        assert_eq!(targets.cold_until(ID, START_MS), 0, "written since");
+    }
+}
