target: a link that refuses connections does not keep a sound target cold

One instance whose connections to a target are refused by something between them, while the target answers the others, began a new downtime with each attempt: the target stayed cold for the whole fleet. Change: a refused connection counts once until the target has answered this instance itself, or, while it has answered nobody, once a second.

--- a/crates/target/src/downtime.rs
+++ b/crates/target/src/downtime.rs
@@ -57,6 +57,10 @@
     /// When it last refused a connection of this instance in this epoch. An answer before that is
     /// no answer of a later process.
     refused_at: Option<Millis>,
+    /// Whether it has refused a connection of this instance and not answered it since. A link may
+    /// refuse connections for long, behind which the process answers others: only the first
+    /// one is evidence.
+    is_refusing: bool,
     /// When it last refused a connection, or the state last changed.
     seen_at: Millis,
     /// When it was first seen to answer in this epoch.
@@ -75,6 +79,7 @@
             epoch,
             learned_at: now,
             refused_at: None,
+            is_refusing: false,
             seen_at: now,
             answered_at: None,
             changed_at: now,
@@ -116,6 +121,12 @@
     ) -> bool {
         let known = self.0.get(id).copied();
         let same = known.filter(|known| known.incarnation == current);
+        if same.is_some_and(|known| known.is_refusing && known.answered_at.is_some()) {
+            if let Some(known) = self.0.get_mut(id) {
+                known.seen_at = now;
+            }
+            return false;
+        }
         let epoch = match same.map(|known| (known.epoch, known.answered_at)) {
             None => 1,
             Some((epoch, Some(answered_at))) if since >= answered_at => epoch.saturating_add(1),
@@ -124,6 +135,7 @@
             Some((_, None)) if !is_renewed(same, now) => {
                 if let Some(known) = self.0.get_mut(id) {
                     known.refused_at = Some(now);
+                    known.is_refusing = true;
                     known.seen_at = now;
                 }
                 return false;
@@ -132,7 +144,7 @@
         };
         let permit_incarnation = known.map_or(current, |known| known.permit_incarnation);
         let next = TargetDowntime::new(current, permit_incarnation, epoch, now);
-        self.insert(id, TargetDowntime { refused_at: Some(now), ..next });
+        self.insert(id, TargetDowntime { refused_at: Some(now), is_refusing: true, ..next });
         // Peers need not be told at once that it is still not listening.
         same.is_none_or(|known| known.answered_at.is_some())
     }
@@ -148,7 +160,11 @@
     ) -> bool {
         let Some(known) = self.0.get_mut(id) else { return false };
         let is_of_later_process = incarnation <= known.incarnation && sent_at > known.learned_at;
-        if !is_of_later_process || known.answered_at.is_some() {
+        if !is_of_later_process {
+            return false;
+        }
+        known.is_refusing &= known.refused_at.is_some_and(|refused_at| sent_at <= refused_at);
+        if known.answered_at.is_some() {
             return false;
         }
         known.set_answered(now, now);
@@ -184,9 +200,10 @@
         let known = self.0.get(id);
         let permit_incarnation = known.map_or(permit_incarnation, |known| known.permit_incarnation);
         let mut next = TargetDowntime::new(incarnation, permit_incarnation, epoch, now);
-        next.refused_at = known
-            .filter(|known| known.incarnation == incarnation)
-            .and_then(|known| known.refused_at);
+        if let Some(known) = known.filter(|known| known.incarnation == incarnation) {
+            next.refused_at = known.refused_at;
+            next.is_refusing = known.is_refusing;
+        }
         match answered_at {
             // The process that answered has ended since.
             Some(at) if !next.is_later(at) => next.epoch = epoch.saturating_add(1),
