--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -4,6 +4,7 @@
 mod backoff;
 mod cold;
 mod domains;
+mod downtime;
 mod entry;
 mod evacuation;
 mod fullness;
@@ -14,9 +15,11 @@
 mod outage;
 mod registry;
 mod selection;
+mod sends;
 
 pub use backoff::{BackoffSettings, TargetBackoffs};
 pub use cold::ColdTargets;
+pub use downtime::DowntimeNotice;
 pub use entry::{TargetEntry, TargetState};
 pub use evacuation::{DomainChange, DomainListing, DomainRecord, DomainReturn};
 pub use fullness::FullnessSamples;
@@ -34,3 +37,4 @@
     SelectionQuery, SelectionSettings, TargetCandidate, TargetSelection, mean_fullness,
     offer_candidates, select_target,
 };
+pub use sends::RecentSends;
