--- a/crates/gateway/src/signals.rs
+++ b/crates/gateway/src/signals.rs
@@ -8,6 +8,10 @@
 use base::Millis;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
+/// Longest time in milliseconds for which a thread that has taken a signal may not yet have run
+/// its handler.
+const HANDLER_DELAY_MS: Millis = 100;
+
 /// Signals that the process catches. To be installed first in `main`: until then they end the
 /// process at once.
 #[derive(Debug)]
@@ -111,6 +115,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct SignalWatch {
     is_caught: Arc<AtomicBool>,
+    /// A check that found no signal. Another thread may have been about to run the handler then.
+    checked_at: AtomicU64,
+    /// An earlier one. Invariant: a check that came `HANDLER_DELAY_MS` or more after it found no
+    /// signal either.
     unsignalled_at: AtomicU64,
     /// Whether a stop begins with a drain.
     is_serving: AtomicBool,
@@ -118,11 +126,14 @@
 }
 
 impl SignalWatch {
-    /// Checks whether the signal has arrived. To be called by the main thread, which handles
-    /// signals: it runs no further before their handlers have run.
+    /// Checks whether the signal has arrived.
     pub(crate) fn check(&self, now: Millis) {
         if !self.is_caught.load(Ordering::SeqCst) {
-            self.unsignalled_at.store(now, Ordering::SeqCst);
+            let checked_at = self.checked_at.load(Ordering::SeqCst);
+            if now.saturating_sub(checked_at) >= HANDLER_DELAY_MS {
+                self.unsignalled_at.store(checked_at, Ordering::SeqCst);
+                self.checked_at.store(now, Ordering::SeqCst);
+            }
         } else if !self.is_logged.swap(true, Ordering::SeqCst) {
             let state = if self.is_serving.load(Ordering::SeqCst) { "serving" } else { "starting" };
             let noticed_ms = now.saturating_sub(self.unsignalled_at());
@@ -134,7 +145,7 @@
         self.is_serving.store(true, Ordering::SeqCst);
     }
 
-    /// Returns the time of the last check at which the signal had not arrived.
+    /// Returns a time at which the signal had not been sent.
     pub(crate) fn unsignalled_at(&self) -> Millis {
         self.unsignalled_at.load(Ordering::SeqCst)
     }
