--- a/crates/bench/tests/processes/slow_readers.rs
+++ b/crates/bench/tests/processes/slow_readers.rs
@@ -34,6 +34,8 @@
 /// token, in bytes.
 const STREAM_BYTES: usize = 8 << 20;
 const TOKEN_BYTES: usize = 16 << 10;
+/// Tokens of a short stream.
+const SHORT_TOKENS: usize = 6;
 /// Receive buffer of a caller with a small window, in bytes.
 const SMALL_WINDOW: usize = 4 << 10;
 /// Bytes after which a caller stops in the middle.
@@ -47,13 +49,14 @@
 const ORDINARY_PAUSE: Duration = Duration::from_millis(100);
 
 /// A long stream with its head. It is written at once, as many small writes would be delayed.
-static LONG_STREAM: LazyLock<String> = LazyLock::new(|| {
+static LONG_STREAM: LazyLock<String> = LazyLock::new(|| stream_answer(STREAM_BYTES / TOKEN_BYTES));
+
+fn stream_answer(tokens: usize) -> String {
     let text = "a".repeat(TOKEN_BYTES);
-    let tokens = (0..STREAM_BYTES / TOKEN_BYTES)
-        .map(|index| format!("data: {{\"i\":{index},\"t\":\"{text}\"}}\n\n"));
+    let tokens = (0..tokens).map(|index| format!("data: {{\"i\":{index},\"t\":\"{text}\"}}\n\n"));
     let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
     format!("{head}{}data: [DONE]\n\n", tokens.collect::<String>())
-});
+}
 
 /// Starts a proxy before a target that answers the requests for long responses itself.
 fn start_proxy(target: SocketAddr) -> std::io::Result<SocketAddr> {
@@ -85,6 +88,9 @@
     if path == "/v1/generate" && body.windows(4).any(|four| four == b"long") {
         return stream.write_all(LONG_STREAM.as_bytes());
     }
+    if path == "/v1/generate" && body.windows(5).any(|five| five == b"short") {
+        return stream.write_all(stream_answer(SHORT_TOKENS).as_bytes());
+    }
     let mut upstream = TcpStream::connect(target)?;
     write!(upstream, "{}\r\nconnection: close\r\n\r\n", without_framing(&head, &["connection"]))?;
     upstream.write_all(&body)?;
@@ -110,7 +116,11 @@
 }
 
 fn stream_request(account: &str, version: &str) -> Vec<u8> {
-    let body = json!({ "nonce": "long", "tokens": 1 }).to_string();
+    stream_request_of("long", account, version)
+}
+
+pub fn stream_request_of(nonce: &str, account: &str, version: &str) -> Vec<u8> {
+    let body = json!({ "nonce": nonce, "tokens": 1 }).to_string();
     format!(
         "POST /v1/call/{MODEL}/generate HTTP/{version}\r\nhost: x\r\n\
          authorization: Bearer demo-{account}\r\ncontent-length: {}\r\n\r\n{body}",
--- a/crates/bench/tests/processes/stop.rs
+++ b/crates/bench/tests/processes/stop.rs
@@ -11,7 +11,7 @@
 use socket2::{Domain, Socket, Type};
 
 use crate::fixture::{ACCOUNT, with_fleet, with_plan};
-use crate::slow_readers::{plain_request, start_proxies};
+use crate::slow_readers::{plain_request, start_proxies, stream_request_of};
 
 /// Time in which a router that stops must exit.
 const EXIT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -26,6 +26,10 @@
 const READ_PACE: f64 = 20_000.0;
 /// The same for an answer whose last part takes longer than a second.
 const CLOSE_PACE: f64 = 10_000.0;
+/// The same for a stream whose last part takes longer than the time for unread bytes without a
+/// deadline, and the end of a stream on a connection that is kept.
+const STREAM_PACE: f64 = 4_000.0;
+const STREAM_END: &[u8] = b"0\r\n\r\n";
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time between a request and the signal.
 const SIGNAL_DELAY: Duration = Duration::from_millis(300);
@@ -63,8 +67,13 @@
 }
 
 /// Sends a request on a connection with a small window, and reads `pace` bytes a second of the
-/// answer. Returns the length of its body.
-fn read_slowly(address: SocketAddr, request: &[u8], pace: f64) -> std::io::Result<usize> {
+/// answer until it is whole or its connection ends.
+fn read_slowly(
+    address: SocketAddr,
+    request: &[u8],
+    pace: f64,
+    is_whole: impl Fn(&[u8]) -> bool,
+) -> std::io::Result<Vec<u8>> {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
     socket.set_recv_buffer_size(SMALL_WINDOW)?;
     socket.connect(&address.into())?;
@@ -74,10 +83,7 @@
     let begun_at = Instant::now();
     let mut received = Vec::new();
     let mut buffer = [0; READ_BYTES];
-    let head_end = |received: &[u8]| {
-        received.windows(4).position(|four| four == b"\r\n\r\n").map_or(0, |end| end + 4)
-    };
-    while received.len() < head_end(&received) + (ANSWER_KB << 10) {
+    while !is_whole(&received) {
         // A connection that breaks off ends the answer.
         let count = stream.read(&mut buffer).unwrap_or_default();
         if count == 0 {
@@ -87,6 +93,16 @@
         let due = Duration::from_secs_f64(received.len() as f64 / pace);
         std::thread::sleep(due.saturating_sub(begun_at.elapsed()));
     }
+    Ok(received)
+}
+
+/// Reads an answer with a length slowly. Returns the length of its body.
+fn read_answer_slowly(address: SocketAddr, request: &[u8], pace: f64) -> std::io::Result<usize> {
+    let head_end = |received: &[u8]| {
+        received.windows(4).position(|four| four == b"\r\n\r\n").map_or(0, |end| end + 4)
+    };
+    let is_whole = |received: &[u8]| received.len() >= head_end(received) + (ANSWER_KB << 10);
+    let received = read_slowly(address, request, pace, is_whole)?;
     Ok(received.len() - head_end(&received))
 }
 
@@ -103,7 +119,7 @@
         start_proxies(&mut fleet, &caller).await?;
         let request = plain_request(ACCOUNT, &format!("/length-{ANSWER_KB}"), "1.1");
         let address = fleet.routers[0].address;
-        let reader = std::thread::spawn(move || read_slowly(address, &request, READ_PACE));
+        let reader = std::thread::spawn(move || read_answer_slowly(address, &request, READ_PACE));
         std::thread::sleep(SIGNAL_DELAY);
         fleet.signal(0, Signal::SIGTERM)?;
         check_exit(&mut fleet)?;
@@ -120,8 +136,22 @@
     with_plan(plan(), |mut fleet, caller| async move {
         start_proxies(&mut fleet, &caller).await?;
         let request = plain_request(ACCOUNT, &format!("/length-{ANSWER_KB}"), "1.0");
-        let received = read_slowly(fleet.routers[0].address, &request, CLOSE_PACE)?;
+        let received = read_answer_slowly(fleet.routers[0].address, &request, CLOSE_PACE)?;
         assert_eq!(received, ANSWER_KB << 10, "bytes of the answer");
         Ok(())
     });
 }
+
+/// Guards against a stream whose end is cut (LOST) as its caller takes longer than a few seconds for
+/// the last part, on a connection that is kept.
+#[test]
+fn stream_that_is_read_slowly_on_a_kept_connection_is_whole() {
+    with_plan(plan(), |mut fleet, caller| async move {
+        start_proxies(&mut fleet, &caller).await?;
+        let request = stream_request_of("short", ACCOUNT, "1.1");
+        let is_whole = |received: &[u8]| received.ends_with(STREAM_END);
+        let received = read_slowly(fleet.routers[0].address, &request, STREAM_PACE, is_whole)?;
+        assert!(is_whole(&received), "cut after {} bytes", received.len());
+        Ok(())
+    });
+}
--- a/crates/router/src/taken_body.rs
+++ b/crates/router/src/taken_body.rs
@@ -121,10 +121,9 @@
         let part = self.source.poll_part(cx);
         if let Some(connection) = &self.connection {
             match part {
-                Poll::Ready(Some(_)) => {
-                    connection.set_deadline(Instant::now() + self.part_timeout);
-                }
-                Poll::Ready(None) | Poll::Pending => connection.clear_deadline(),
+                // The end of a stream follows parts that the connection may not have written.
+                Poll::Ready(_) => connection.set_deadline(Instant::now() + self.part_timeout),
+                Poll::Pending => connection.clear_deadline(),
             }
         }
         if self.source.is_over(&part) {
