--- a/crates/inbound/src/connections.rs
+++ b/crates/inbound/src/connections.rs
@@ -229,8 +229,10 @@
     /// Returns how many.
     pub fn terminate_unfinished(&self) -> usize {
         self.terminate(|_, entry| {
-            let is_idle = matches!(entry.state, ConnectionState::Idle { .. });
-            !is_idle && entry.state != ConnectionState::Closing
+            // A refused request that follows an answer leaves its connection idle.
+            let is_waiting =
+                matches!(entry.state, ConnectionState::Idle { .. } | ConnectionState::Closing);
+            !is_waiting || !entry.handed_over.is_empty()
         })
     }
 
