--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -54,14 +54,18 @@
             if !is_notice_over {
                 let after_ms = context.now().saturating_sub(unsignalled_at);
                 let open = context.open_calls();
-                tracing::info!(unit = "run", event = "closed", after_ms, open);
+                tracing::info!(unit = "run", event = "notice_ended", after_ms, open);
             }
             is_notice_over = true;
         }
         let open = count_open(context).await;
         match cycle.step(context.now(), open) {
             StopStep::Wait => tokio::time::sleep(DRAIN_POLL_PERIOD).await,
-            StopStep::Close => context.close(),
+            StopStep::Close => {
+                context.close();
+                let after_ms = context.now().saturating_sub(unsignalled_at);
+                tracing::info!(unit = "run", event = "closed", after_ms);
+            }
             StopStep::Exit => break,
         }
     }
