--- a/crates/gateway/src/cold.rs
+++ b/crates/gateway/src/cold.rs
@@ -151,7 +151,6 @@
     specs: Vec<(Name, ColdSpec)>,
 ) {
     if context.versions().fill_in_cold(version, specs) {
-        *context.encoded_configuration() = None;
         update_known(context, "Configuration", |_| true);
     }
 }
--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -31,13 +31,6 @@
     total: Duration::from_secs(10),
 };
 
-/// A configuration as peers get it.
-#[derive(Clone, Debug)]
-pub(crate) struct EncodedConfiguration {
-    version: u64,
-    bytes: ntex::util::Bytes,
-}
-
 /// What a peer that asks for the configuration gets.
 pub(crate) enum ConfigurationAnswer {
     /// The configuration, or a response without it if the peer has the same version.
@@ -136,7 +129,8 @@
         let bytes = rmp_serde::to_vec(&ChangesResponse::of_configuration(None))?;
         return Ok(ConfigurationAnswer::Response(bytes.into()));
     };
-    let EncodedConfiguration { version, bytes } = encode(context, &table)?;
+    let version = table.version;
+    let bytes = encode(context, &table)?;
     // Routers of earlier versions do not know referrals.
     let (Some(ReceiverNotice { address }), Some(io)) = (receiver, io) else {
         return Ok(ConfigurationAnswer::Response(bytes));
@@ -158,15 +152,14 @@
 fn encode(
     context: &GatewayContext,
     table: &Arc<RouteTable>,
-) -> Result<EncodedConfiguration, EncodeError> {
-    let known = context.encoded_configuration().clone();
-    if let Some(encoded) = known.filter(|encoded| encoded.version == table.version) {
-        return Ok(encoded);
+) -> Result<ntex::util::Bytes, EncodeError> {
+    let known = context.encoded_configuration().get(table);
+    if let Some(bytes) = known {
+        return Ok(bytes);
     }
-    let bytes = encode_configuration(table)?.into();
-    let encoded = EncodedConfiguration { version: table.version, bytes };
-    *context.encoded_configuration() = Some(encoded.clone());
-    Ok(encoded)
+    let bytes = ntex::util::Bytes::from(encode_configuration(table)?);
+    context.encoded_configuration().set(Arc::clone(table), bytes.clone());
+    Ok(bytes)
 }
 
 async fn end_transfer(context: Arc<GatewayContext>, io: IoRef, key: TransferKey, version: u64) {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -18,7 +18,7 @@
 use quarantine::{PartQuarantine, QuarantineSettings};
 use rate::{FleetView, RateLimiter, RateSettings};
 use resume::{ResumePolicy, ResumeSettings};
-use route::{RouteTable, VersionGate};
+use route::{EncodedTable, RouteTable, VersionGate};
 use target::{
     BackoffSettings, FullnessSamples, LoadTracker, RegistrySettings, TargetBackoffs, TargetRegistry,
 };
@@ -26,7 +26,6 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::cold::{ColdExchange, ColdState};
-use crate::configuration::EncodedConfiguration;
 use crate::offers::OfferExchange;
 use crate::open::OpenWork;
 use crate::permits::PermitExchange;
@@ -144,7 +143,7 @@
     pub(crate) holder_found: Notify,
     transfers: Mutex<TransferPolicy>,
     /// The configuration that peers asked for last.
-    encoded_configuration: Mutex<Option<EncodedConfiguration>>,
+    encoded_configuration: Mutex<EncodedTable<ntex::util::Bytes>>,
     /// Lateness of the thread that reads the source and exchanges heartbeats.
     control_lateness: Mutex<ThreadLateness>,
     refusal_log_sampler: Mutex<LogSampler>,
@@ -364,7 +363,7 @@
         lock(&self.transfers)
     }
 
-    pub(crate) fn encoded_configuration(&self) -> MutexGuard<'_, Option<EncodedConfiguration>> {
+    pub(crate) fn encoded_configuration(&self) -> MutexGuard<'_, EncodedTable<ntex::util::Bytes>> {
         lock(&self.encoded_configuration)
     }
 
--- a/crates/route/tests/selection.rs
+++ b/crates/route/tests/selection.rs
@@ -1,8 +1,10 @@
 //! Selection of a route, and of the configuration in force.
 
+use std::sync::Arc;
+
 use route::{
-    CallKind, CallerLimits, ColdSpec, RouteSpec, RouteTable, RouteTableBuilder, ServiceSpec,
-    VersionGate, VersionVerdict, WeightedService,
+    CallKind, CallerLimits, ColdSpec, EncodedTable, RouteSpec, RouteTable, RouteTableBuilder,
+    ServiceSpec, VersionGate, VersionVerdict, WeightedService,
 };
 
 const LIMITS: CallerLimits = CallerLimits {
@@ -78,6 +80,25 @@
     assert_eq!(gate.version(), Some(12));
 }
 
+/// Guards against peers that take targets for warm (FAILBACK), as they get a configuration that was
+/// encoded before its cold rates were known, and kept after that.
+#[test]
+fn what_was_encoded_before_cold_rates_were_known_is_not_kept() {
+    let service = ServiceSpec { name: "one".into(), max_connections: 1, engine: None, cold: None };
+    let mut gate = VersionGate::default();
+    gate.offer(RouteTableBuilder::new(3, LIMITS).service(service).build());
+    let mut encoded = EncodedTable::default();
+    let before = gate.current().unwrap();
+    let specs = vec![("one".into(), ColdSpec { start_ms: 3_000, per_second: 8.9 })];
+    assert!(gate.fill_in_cold(Some(3), specs));
+    encoded.set(Arc::clone(&before), "without");
+    let after = gate.current().unwrap();
+    assert_eq!(encoded.get(&after), None);
+    encoded.set(Arc::clone(&after), "with");
+    assert_eq!(encoded.get(&after), Some("with"));
+    assert_eq!(encoded.get(&before), None);
+}
+
 /// Guards against targets that are never cold as a router of an earlier version passed on the
 /// configuration, and against a configuration that is completed by another version's.
 #[test]
