--- a/crates/gateway/src/cold.rs
+++ b/crates/gateway/src/cold.rs
@@ -12,7 +12,7 @@
     COLD_PERMIT_MS, ColdAsk, ColdDecision, ColdLimit, ColdRequest, ColdResponse, RateKey,
     RequestClass,
 };
-use route::{ColdSpec, RouteTable};
+use route::ColdSpec;
 use target::{ColdTargets, RecentSends, TargetEntry, TargetRecord};
 use tokio::sync::oneshot;
 
@@ -116,11 +116,9 @@
         });
         changed.collect()
     };
-    if let Some(table) = context.table() {
-        let origin = format!("{origin:?}");
-        for (entry, former) in changed {
-            update_cold(context, &table, entry, former, &origin);
-        }
+    let origin = format!("{origin:?}");
+    for (entry, former) in changed {
+        update_cold(context, entry, former, &origin);
     }
 }
 
@@ -160,51 +158,47 @@
     origin: &str,
     is_affected: impl Fn(&TargetEntry) -> bool,
 ) {
-    let Some(table) = context.table() else { return };
     let known: Vec<TargetEntry> =
         context.targets().known().filter(|entry| is_affected(entry)).cloned().collect();
     for entry in &known {
         let former = FormerTarget { incarnation: Some(entry.incarnation) };
-        update_cold(context, &table, entry, former, origin);
+        update_cold(context, entry, former, origin);
     }
 }
 
-fn update_cold(
-    context: &GatewayContext,
-    table: &RouteTable,
-    entry: &TargetEntry,
-    former: FormerTarget,
-    origin: &str,
-) {
-    let now = context.now();
+fn update_cold(context: &GatewayContext, entry: &TargetEntry, former: FormerTarget, origin: &str) {
     let key = rate_key(entry);
-    let Some(spec) = table.service(&entry.service).and_then(|service| service.cold) else {
-        context.limits().set_cold(key, None, now);
+    // Held until the limit is set, so that no other thread sets an older one after that.
+    let mut cold = context.cold();
+    let now = context.now();
+    let Some(table) = context.table() else { return };
+    let spec = table.service(&entry.service).and_then(|service| service.cold);
+    let mut limits = context.limits();
+    let Some(spec) = spec else {
+        limits.set_cold(key, None, now);
         return;
     };
-    let (until, permit_incarnation) = {
-        let targets = &context.cold().targets;
-        let until = targets.cold_until(&entry.id, spec.start_ms);
-        let down_until = targets.down_until(&entry.id, spec.start_ms, now);
-        (until.max(down_until), targets.permit_incarnation(&entry.id))
-    };
+    let until = cold.targets.cold_until(&entry.id, spec.start_ms);
+    let until = until.max(cold.targets.down_until(&entry.id, spec.start_ms, now));
     // A later entry may say that a target of a domain that was taken back is not cold.
-    if until <= now && !context.limits().is_cold(key, now) {
+    if until <= now && !limits.is_cold(key, now) {
         return;
     }
     let until = until.max(now);
     let limit = ColdLimit { per_second: spec.per_second as f32, until };
-    let begins = context.limits().set_cold(key, Some(limit), now);
-    if !context.limits().needs_cold_permit(key) {
+    let begins = limits.set_cold(key, Some(limit), now);
+    if !limits.needs_cold_permit(key) {
         return;
     }
-    if let Some(incarnation) = permit_incarnation {
-        context.limits().set_permit_key(key, RateKey::new(&entry.id, incarnation));
+    if let Some(incarnation) = cold.targets.permit_incarnation(&entry.id) {
+        limits.set_permit_key(key, RateKey::new(&entry.id, incarnation));
     }
-    context.cold().logged.insert(Name::clone(&entry.id), until);
+    drop(limits);
+    cold.logged.insert(Name::clone(&entry.id), until);
+    let sent_before = cold.sends.count(&entry.id, now);
+    drop(cold);
     if begins {
         let (target, incarnation) = (&entry.id, entry.incarnation);
-        let sent_before = context.cold().sends.count(target, now);
         context.metrics.incr(&format!("cold_begun.{}", origin.to_lowercase())).ok();
         context.metrics.count("cold_sent.before", sent_before as i64).ok();
         tracing::info!(
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -108,8 +108,9 @@
     }
 }
 
-/// State shared by every handler and task of the process. Locks are taken one at
-/// a time and never held across an await.
+/// State shared by every handler and task of the process. Locks are taken one at a time and never
+/// held across an await, but for those of `cold`, `versions` and `limits`: `cold` is taken first,
+/// and kept while one of the others is held.
 #[derive(Debug)]
 pub(crate) struct GatewayContext {
     pub(crate) settings: GatewaySettings,
