--- a/crates/gateway/src/beats.rs
+++ b/crates/gateway/src/beats.rs
@@ -27,7 +27,7 @@
     send_report,
 };
 use crate::downtime::{downtime_notices, merge_downtimes};
-use crate::fetch::{PeerFetch, fetch_from_peers};
+use crate::fetch::{FetchPurpose, PeerFetch, fetch_from_peers, queue_fetch};
 use crate::messages::{
     ConfigurationNotice, DowntimeList, HeartbeatNotice, HeartbeatPayload, LeavingNotice,
     MAX_HEARTBEAT_BYTES, NO_RECORDS, PeerDatagram, PeerMessage, RouterCondition, append_part,
@@ -315,8 +315,8 @@
     record_peer_read(context, notice.source, now);
     if context.source().record_peer_revision(notice.source.revision, now) {
         let after = context.source().revision;
-        // If the channel is full, a fetch is already pending.
-        let _ = fetch_sender.try_send(PeerFetch { peer: addresses.peers, after });
+        let purpose = FetchPurpose::Changes;
+        queue_fetch(context, PeerFetch { peer: addresses.peers, after, purpose }, fetch_sender);
     }
 }
 
@@ -441,22 +441,17 @@
     let is_behind = context.source().record_peer_revision(revision, now);
     let knows_source = revision > 0 || version.is_some();
     // What a restored source has lost is known to peers alone, whatever the revisions.
-    let needs_all = knows_source
-        && matches!(outcome, HeartbeatOutcome::Joined)
-        && context.start_fetches() < ALL_FETCHES;
+    let needs_all =
+        knows_source && context.start_fetches().allows(outcome == HeartbeatOutcome::Joined, now);
     record_version(context, addresses.peers, version);
     if needs_all || is_behind {
         let after = if needs_all { 0 } else { context.source().revision };
-        // If the channel is full, a fetch is already pending.
-        let is_queued = fetch_sender.try_send(PeerFetch { peer: addresses.peers, after }).is_ok();
-        if needs_all && is_queued {
-            context.count_start_fetch();
-        }
-    } else if let Some(remaining) = context.domain_fetches().checked_sub(1) {
-        let fetch = PeerFetch { peer: addresses.peers, after: NO_RECORDS };
-        if fetch_sender.try_send(fetch).is_ok() {
-            context.set_domain_fetches(remaining);
-        }
+        let purpose = if needs_all { FetchPurpose::Start } else { FetchPurpose::Changes };
+        queue_fetch(context, PeerFetch { peer: addresses.peers, after, purpose }, fetch_sender);
+    } else if context.domain_fetches().allows(false, now) {
+        let purpose = FetchPurpose::Domains;
+        let fetch = PeerFetch { peer: addresses.peers, after: NO_RECORDS, purpose };
+        queue_fetch(context, fetch, fetch_sender);
     }
     outcome
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -12,8 +12,8 @@
 use base::{Millis, MonoClock, Name, Origin, stable_hash};
 use cadence::StatsdClient;
 use mesh::{
-    AnnouncedVersions, HolderList, HolderSettings, MemberSettings, MemberTable, TransferPolicy,
-    TransferSettings,
+    AnnouncedVersions, FetchQuota, HolderList, HolderSettings, MemberSettings, MemberTable,
+    TransferPolicy, TransferSettings,
 };
 use quarantine::{PartQuarantine, QuarantineSettings};
 use rate::{FleetView, RateLimiter, RateSettings};
@@ -25,6 +25,7 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
+use crate::beats::ALL_FETCHES;
 use crate::cold::{ColdExchange, ColdState};
 use crate::offers::OfferExchange;
 use crate::open::OpenWork;
@@ -166,11 +167,10 @@
     pub(crate) open: OpenWork,
     /// Number of live routers, including this one.
     router_count: AtomicUsize,
-    /// Number of peers that were asked for all they know since the start.
-    start_fetches: AtomicUsize,
-    /// Number of peers still to be asked which failure domains are evacuated, as the source was
-    /// restored.
-    domain_fetches: AtomicUsize,
+    /// Peers to be asked for all they know, as this router has started.
+    start_fetches: Mutex<FetchQuota>,
+    /// Peers to be asked which failure domains are evacuated, as the source was restored.
+    domain_fetches: Mutex<FetchQuota>,
 }
 
 /// Returns the heartbeat addresses of `seeds`. All routers use the same ports, so
@@ -273,8 +273,8 @@
             is_closed: AtomicBool::new(false),
             open: OpenWork::default(),
             router_count: AtomicUsize::new(1),
-            start_fetches: AtomicUsize::new(0),
-            domain_fetches: AtomicUsize::new(0),
+            start_fetches: Mutex::new(FetchQuota::of_found(ALL_FETCHES)),
+            domain_fetches: Mutex::new(FetchQuota::of_heard(0)),
         })
     }
 
@@ -421,20 +421,12 @@
         self.router_count.load(Ordering::Relaxed)
     }
 
-    pub(crate) fn start_fetches(&self) -> usize {
-        self.start_fetches.load(Ordering::Relaxed)
+    pub(crate) fn start_fetches(&self) -> MutexGuard<'_, FetchQuota> {
+        lock(&self.start_fetches)
     }
 
-    pub(crate) fn count_start_fetch(&self) {
-        self.start_fetches.fetch_add(1, Ordering::Relaxed);
-    }
-
-    pub(crate) fn domain_fetches(&self) -> usize {
-        self.domain_fetches.load(Ordering::Relaxed)
-    }
-
-    pub(crate) fn set_domain_fetches(&self, count: usize) {
-        self.domain_fetches.store(count, Ordering::Relaxed);
+    pub(crate) fn domain_fetches(&self) -> MutexGuard<'_, FetchQuota> {
+        lock(&self.domain_fetches)
     }
 
     pub(crate) fn open_calls(&self) -> usize {
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -1,11 +1,12 @@
 //! Fetches the changes that peers have and this router lacks.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, MutexGuard};
 use std::time::Duration;
 
 use http::Method;
 use hyper::body::Bytes;
+use mesh::FetchQuota;
 use outbound::FetchClient;
 use tokio::sync::mpsc;
 
@@ -26,6 +27,39 @@
 pub(crate) struct PeerFetch {
     pub(crate) peer: SocketAddr,
     pub(crate) after: u64,
+    pub(crate) purpose: FetchPurpose,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum FetchPurpose {
+    /// The peer is ahead.
+    Changes,
+    /// This router has started.
+    Start,
+    /// The source was restored.
+    Domains,
+}
+
+/// Returns the number of peers still to be asked for a purpose, if that is limited.
+fn quota(context: &GatewayContext, purpose: FetchPurpose) -> Option<MutexGuard<'_, FetchQuota>> {
+    match purpose {
+        FetchPurpose::Changes => None,
+        FetchPurpose::Start => Some(context.start_fetches()),
+        FetchPurpose::Domains => Some(context.domain_fetches()),
+    }
+}
+
+/// Queues a fetch, unless one is pending already.
+pub(crate) fn queue_fetch(
+    context: &GatewayContext,
+    fetch: PeerFetch,
+    fetch_sender: &mpsc::Sender<PeerFetch>,
+) {
+    if fetch_sender.try_send(fetch).is_ok()
+        && let Some(mut quota) = quota(context, fetch.purpose)
+    {
+        quota.begin();
+    }
 }
 
 /// Fetches changes from peers with a newer revision, one at a time.
@@ -37,12 +71,15 @@
         if let Err(cause) = fetch_changes(&context, fetch).await {
             let peer = fetch.peer;
             tracing::info!(unit = "beats", event = "changes_not_fetched", %peer, cause = format!("{cause:#}"));
+            if let Some(mut quota) = quota(&context, fetch.purpose) {
+                quota.record_failure(context.now());
+            }
         }
     }
 }
 
 async fn fetch_changes(context: &GatewayContext, fetch: PeerFetch) -> anyhow::Result<()> {
-    let PeerFetch { peer, after } = fetch;
+    let PeerFetch { peer, after, .. } = fetch;
     let request = rmp_serde::to_vec(&ChangesRequest::of_targets(after))?;
     let mut client = FetchClient::new(peer, MAX_CHANGES_BYTES);
     let body = Bytes::from(request);
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use base::{Millis, Name};
-use mesh::{ReaderPolicy, ReaderSettings, ReaderVerdict};
+use mesh::{FetchQuota, ReaderPolicy, ReaderSettings, ReaderVerdict};
 
 use crate::beats::{ALL_FETCHES, send_source_notice};
 use crate::context::GatewayContext;
@@ -109,7 +109,7 @@
                     SourceError::Restored { .. } => {
                         context.targets().record_source_restored(now);
                         // Peers may know of evacuations that the source has lost.
-                        context.set_domain_fetches(ALL_FETCHES);
+                        *context.domain_fetches() = FetchQuota::of_heard(ALL_FETCHES);
                     }
                     _ => context.targets().record_source_lost(now),
                 }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -6,12 +6,14 @@
 
 mod heartbeat;
 mod members;
+mod quota;
 mod reader;
 mod report;
 mod spread;
 
 pub use heartbeat::{Heartbeat, HeartbeatHeader, PeerAddresses, SourceNotice, SourceView};
 pub use members::{HeartbeatOutcome, MemberSettings, MemberTable, MemberView};
+pub use quota::FetchQuota;
 pub use reader::{ReaderPolicy, ReaderSettings, ReaderVerdict};
 pub use report::{DomainMembers, PeerSighting, ReportRequest, SightingTag};
 pub use spread::{
