--- a/crates/gateway/src/beats.rs
+++ b/crates/gateway/src/beats.rs
@@ -26,7 +26,7 @@
     ask_for_reports, forget_announcements, is_reported, record_demand, record_load, record_members,
     send_report,
 };
-use crate::downtime::{downtime_notices, merge_downtimes};
+use crate::downtime::{downtime_notices, downtime_notices_for_one, merge_downtimes};
 use crate::fetch::{FetchPurpose, PeerFetch, fetch_from_peers, queue_fetch};
 use crate::messages::{
     ConfigurationNotice, DowntimeList, HeartbeatNotice, HeartbeatPayload, LeavingNotice,
@@ -80,7 +80,8 @@
         }
         let notice = context.quarantine().notice(now);
         let limits = context.limits().notice(now);
-        let heartbeat = encode_heartbeat(&context, &notice, &limits);
+        let downtimes = DowntimeList { targets: downtime_notices(&context) };
+        let heartbeat = encode_heartbeat(&context, &notice, &limits, &downtimes);
         let mut receivers = context.members().receivers(now);
         // Repeats of what is known of crashes are counted by rounds that reach all peers.
         let is_urgent = urgent_rounds > 0 || notice.has_news() || context.is_draining();
@@ -131,6 +132,7 @@
     context: &GatewayContext,
     quarantine: &QuarantineNotice,
     limits: &LimitNotice,
+    downtimes: &DowntimeList,
 ) -> Vec<u8> {
     let now = context.now();
     let mut accounts = context.shares().own_demands(now);
@@ -144,7 +146,6 @@
     let condition = RouterCondition { is_saturated: context.accept_policy().is_saturated() };
     let configuration = ConfigurationNotice { version: context.versions().version() };
     let leaving = LeavingNotice { targets: context.targets().leaving_notices(now) };
-    let downtimes = DowntimeList { targets: downtime_notices(context) };
     // Parts are told apart by their order, so each one needs those before it.
     let has_downtimes = !downtimes.targets.is_empty();
     let has_leaving = has_downtimes || !leaving.targets.is_empty();
@@ -167,7 +168,7 @@
             append_part(&mut bytes, &leaving);
         }
         if has_downtimes {
-            append_part(&mut bytes, &downtimes);
+            append_part(&mut bytes, downtimes);
         }
         let payload = &mut heartbeat.payload;
         if bytes.len() <= MAX_HEARTBEAT_BYTES
@@ -250,7 +251,8 @@
     let now = context.now();
     let notice = context.quarantine().notice_for_one(now);
     let limits = context.limits().notice(now);
-    encode_heartbeat(context, &notice, &limits)
+    let downtimes = DowntimeList { targets: downtime_notices_for_one(context) };
+    encode_heartbeat(context, &notice, &limits, &downtimes)
 }
 
 async fn handle_message(
--- a/crates/gateway/src/cold.rs
+++ b/crates/gateway/src/cold.rs
@@ -31,12 +31,6 @@
     logged: BTreeMap<Name, Millis>,
 }
 
-impl ColdState {
-    pub(crate) fn has_downtime_notices(&self, now: Millis) -> bool {
-        self.targets.has_downtime_notices(now)
-    }
-}
-
 /// A permit of a target that is cold, or was so lately.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ColdPermit {
--- a/crates/gateway/src/domains.rs
+++ b/crates/gateway/src/domains.rs
@@ -11,8 +11,9 @@
 
 use crate::beats::{encode_heartbeat, own_header};
 use crate::context::GatewayContext;
+use crate::downtime::downtime_notices_for_one;
 use crate::messages::{
-    DomainDemand, DomainLoad, MAX_HEARTBEAT_BYTES, PeerMessage, encode_peer_message,
+    DomainDemand, DomainLoad, DowntimeList, MAX_HEARTBEAT_BYTES, PeerMessage, encode_peer_message,
 };
 
 /// Prefix of the name under which what a failure domain announces is kept. No router has it in
@@ -72,11 +73,12 @@
     let quarantine = context.quarantine().notice_for_one(now);
     let limits = context.limits().notice(now);
     let has_leaving = !context.targets().leaving_notices(now).is_empty();
-    let has_downtimes = context.cold().has_downtime_notices(now);
+    let downtimes = DowntimeList { targets: downtime_notices_for_one(context) };
+    let has_downtimes = !downtimes.targets.is_empty();
     if quarantine.is_empty() && limits.is_empty() && !has_leaving && !has_downtimes {
         return;
     }
-    let heartbeat = encode_heartbeat(context, &quarantine, &limits);
+    let heartbeat = encode_heartbeat(context, &quarantine, &limits, &downtimes);
     if let Err(cause) = socket.send_to(&heartbeat, peer).await {
         tracing::debug!(unit = "domains", event = "not_sent", %peer, %cause);
     }
--- a/crates/gateway/src/downtime.rs
+++ b/crates/gateway/src/downtime.rs
@@ -76,12 +76,18 @@
     }
 }
 
-/// Returns what peers are to be told of such targets.
+/// Returns what all peers are to be told of such targets, for a round of heartbeats.
 pub(crate) fn downtime_notices(context: &GatewayContext) -> Vec<DowntimeNotice> {
     let now = context.now();
     context.cold().targets.downtime_notices(now)
 }
 
+/// Returns what a single peer is to be told of such targets.
+pub(crate) fn downtime_notices_for_one(context: &GatewayContext) -> Vec<DowntimeNotice> {
+    let now = context.now();
+    context.cold().targets.downtime_notices_for_one(now)
+}
+
 /// Prolongs the cold time of the targets that have not answered since they were seen not to
 /// listen.
 pub(crate) fn update_unanswered(context: &GatewayContext) {
--- a/crates/target/src/cold.rs
+++ b/crates/target/src/cold.rs
@@ -156,14 +156,15 @@
         self.downtimes.merge(notice, now)
     }
 
-    /// Returns what peers are to be told of targets that were seen not to listen.
+    /// Returns what all peers are to be told of targets that were seen not to listen, for a round
+    /// of heartbeats.
     pub fn downtime_notices(&mut self, now: Millis) -> Vec<DowntimeNotice> {
         self.downtimes.notices(now)
     }
 
-    /// Whether there is something to tell peers.
-    pub fn has_downtime_notices(&self, now: Millis) -> bool {
-        self.downtimes.has_notices(now)
+    /// Returns what a single peer is to be told of them.
+    pub fn downtime_notices_for_one(&self, now: Millis) -> Vec<DowntimeNotice> {
+        self.downtimes.notices_for_one(now)
     }
 
     /// Returns the targets that were seen not to listen and have not answered since: how long they
--- a/crates/target/src/downtime.rs
+++ b/crates/target/src/downtime.rs
@@ -67,7 +67,7 @@
     pub(crate) answered_at: Option<Millis>,
     /// When the epoch or the answer became known.
     changed_at: Millis,
-    /// Messages to peers that had the last change.
+    /// Rounds of heartbeats that had the last change.
     told: u32,
 }
 
@@ -213,15 +213,26 @@
         true
     }
 
-    /// Returns what peers are to be told: the changes of the last time, those that were told least
-    /// often first.
+    /// Returns what all peers are to be told, for a round of heartbeats: the changes of the last
+    /// time, those that were told least often first.
     pub(crate) fn notices(&mut self, now: Millis) -> Vec<DowntimeNotice> {
-        let recent = self.0.iter_mut().filter(|(_, known)| is_recent(known, now));
+        let notices = self.notices_for_one(now);
+        for notice in &notices {
+            if let Some(known) = self.0.get_mut(&notice.id) {
+                known.told = known.told.saturating_add(1);
+            }
+        }
+        notices
+    }
+
+    /// Returns what a single peer is to be told. Leaves the turns of the targets to the rounds that
+    /// reach all peers.
+    pub(crate) fn notices_for_one(&self, now: Millis) -> Vec<DowntimeNotice> {
+        let recent = self.0.iter().filter(|(_, known)| is_recent(known, now));
         let mut recent: Vec<_> = recent.collect();
         recent.sort_by_key(|(id, known)| (known.told, Name::clone(id)));
         recent.truncate(MAX_NOTICES);
         let notices = recent.into_iter().map(|(id, known)| {
-            known.told = known.told.saturating_add(1);
             let earlier = known.permit_incarnation != known.incarnation;
             DowntimeNotice {
                 id: Name::clone(id),
@@ -234,11 +245,6 @@
         notices.collect()
     }
 
-    /// Whether there is something to tell peers.
-    pub(crate) fn has_notices(&self, now: Millis) -> bool {
-        self.0.values().any(|known| is_recent(known, now))
-    }
-
     /// Returns the targets that have not answered yet.
     pub(crate) fn unanswered(&self) -> impl Iterator<Item = &Name> {
         self.0.iter().filter(|(_, known)| known.answered_at.is_none()).map(|(id, _)| id)
--- a/crates/target/tests/downtime.rs
+++ b/crates/target/tests/downtime.rs
@@ -4,6 +4,8 @@
 
 mod common;
 
+use std::collections::BTreeSet;
+
 use common::entry;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -371,3 +373,22 @@
     assert_eq!(other.permit_incarnation(ID), Some(7));
     assert_eq!(other.down_until(ID, START_MS, 9_000), 9_000 + START_MS);
 }
+
+/// Guards against targets that are missing in each round of heartbeats, as messages to single peers
+/// have taken their turns (FAILBACK).
+#[test]
+fn messages_to_single_peers_take_no_turns_of_the_rounds() {
+    let mut targets = ColdTargets::default();
+    let ids: Vec<String> = (0..24).map(|index| format!("t-{index:02}")).collect();
+    for id in &ids {
+        let notice = DowntimeNotice { id: id.as_str().into(), ..notice(1, 1, None) };
+        assert!(targets.merge_downtime(&notice, 1_000));
+    }
+    let mut told = BTreeSet::new();
+    for _ in 0..4 {
+        let round = targets.downtime_notices(1_100);
+        told.extend(round.iter().map(|notice| notice.id.to_string()));
+        assert!(!targets.downtime_notices_for_one(1_100).is_empty());
+    }
+    assert_eq!(told, ids.into_iter().collect());
+}
