--- a/crates/gateway/src/beats.rs
+++ b/crates/gateway/src/beats.rs
@@ -8,6 +8,7 @@
 
 use base::{Millis, Name};
 use cadence::prelude::*;
+use changes::{ConfigurationNotice, NO_RECORDS, append_part};
 use mesh::{
     Heartbeat, HeartbeatHeader, HeartbeatOutcome, PeerAddresses, ReportRequest, SourceNotice,
     SourceView,
@@ -29,9 +30,9 @@
 use crate::downtime::{downtime_notices, downtime_notices_for_one, merge_downtimes};
 use crate::fetch::{FetchPurpose, PeerFetch, fetch_from_peers, queue_fetch};
 use crate::messages::{
-    ConfigurationNotice, DowntimeList, HeartbeatNotice, HeartbeatPayload, LeavingNotice,
-    MAX_HEARTBEAT_BYTES, NO_RECORDS, PeerDatagram, PeerMessage, RouterCondition, append_part,
-    decode_heartbeat, decode_peer_message, is_peer_message,
+    DowntimeList, HeartbeatNotice, HeartbeatPayload, LeavingNotice, MAX_HEARTBEAT_BYTES,
+    PeerDatagram, PeerMessage, RouterCondition, decode_heartbeat, decode_peer_message,
+    is_peer_message,
 };
 use crate::offers::{
     answer_offer_request, handle_offer_response, record_placement, record_report, send_reports,
--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -7,6 +7,10 @@
 use std::time::Duration;
 
 use base::Millis;
+use changes::{
+    CHANGES_PATH, ChangesRequest, ChangesResponse, ConfigurationReferral, MAX_CHANGES_BYTES,
+    PeerChanges, ReceiverNotice, append_part, decode_changes, encode_changes,
+};
 use http::{Method, StatusCode};
 use hyper::body::Bytes;
 use mesh::{HolderVerdict, TransferKey, TransferVerdict};
@@ -16,10 +20,6 @@
 use route::RouteTable;
 
 use crate::context::GatewayContext;
-use crate::messages::{
-    CHANGES_PATH, ChangesRequest, ChangesResponse, ConfigurationReferral, MAX_CHANGES_BYTES,
-    ReceiverNotice, append_part, decode_changes, encode_configuration,
-};
 use crate::platform::SourceUpdate;
 use crate::view::{UpdateOrigin, apply_update};
 
@@ -157,7 +157,7 @@
     if let Some(bytes) = known {
         return Ok(bytes);
     }
-    let bytes = ntex::util::Bytes::from(encode_configuration(table)?);
+    let bytes = ntex::util::Bytes::from(encode_changes(&PeerChanges::of_configuration(table))?);
     context.encoded_configuration().set(Arc::clone(table), bytes.clone());
     Ok(bytes)
 }
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -4,6 +4,9 @@
 use std::sync::{Arc, MutexGuard};
 use std::time::Duration;
 
+use changes::{
+    CHANGES_PATH, ChangesRequest, MAX_CHANGES_BYTES, NO_RECORDS, PeerChanges, decode_changes,
+};
 use http::Method;
 use hyper::body::Bytes;
 use mesh::FetchQuota;
@@ -13,9 +16,6 @@
 use crate::cold::fill_in_cold;
 use crate::configuration::record_version;
 use crate::context::GatewayContext;
-use crate::messages::{
-    CHANGES_PATH, ChangesRequest, MAX_CHANGES_BYTES, NO_RECORDS, PeerChanges, decode_changes,
-};
 use crate::platform::SourceUpdate;
 use crate::view::{UpdateOrigin, apply_peer_domains, apply_update, record_left_targets};
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use changes::{CHANGES_PATH, ColdNotice, PeerChanges, decode_changes_request, encode_changes};
 use http::{Method, StatusCode};
 use mesh::MemberView;
 use ntex::http::{Request, Response};
@@ -12,9 +13,6 @@
 use crate::body::BodyReader;
 use crate::configuration::{ConfigurationAnswer, answer_request};
 use crate::context::GatewayContext;
-use crate::messages::{
-    CHANGES_PATH, ColdNotice, SoftwareNotice, append_part, decode_changes_request,
-};
 use crate::relay::RelayBody;
 use crate::view::{changes_notice, changes_since, configuration_notice, domain_listing};
 
@@ -91,20 +89,19 @@
         let answer = answer_request(&context, changes_request, receiver, request.io());
         return answer.map_or_else(|cause| not_encoded(&cause), configuration_response);
     }
-    let changes = changes_since(&context, changes_request);
-    match rmp_serde::to_vec(&changes) {
-        Ok(mut response) => {
-            append_part(&mut response, &changes_notice(&context));
-            // Read after the revision of the response, so that it is not older.
-            append_part(&mut response, &configuration_notice(&context));
-            append_part(&mut response, &SoftwareNotice::of(&changes.records));
-            append_part(&mut response, &context.resumes().version_notice(context.now()));
-            // Read after the revision of the response, as above.
-            append_part(&mut response, &domain_listing(&context));
-            append_part(&mut response, &ColdNotice::of(context.table().as_deref()));
-            append_part(&mut response, &context.resumes().move_notice(context.now()));
-            full_response(PEER_MESSAGE_TYPE, response)
-        }
+    let response = changes_since(&context, changes_request);
+    // Read after the revision of the response, so that none of it is older.
+    let changes = PeerChanges {
+        response,
+        notice: changes_notice(&context),
+        configuration: configuration_notice(&context),
+        versions: context.resumes().version_notice(context.now()),
+        domains: Some(domain_listing(&context)),
+        cold: ColdNotice::of(context.table().as_deref()),
+        moves: context.resumes().move_notice(context.now()),
+    };
+    match encode_changes(&changes) {
+        Ok(bytes) => full_response(PEER_MESSAGE_TYPE, bytes),
         Err(cause) => not_encoded(&cause),
     }
 }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -2,12 +2,12 @@
 //! serves them to peers.
 
 use base::Millis;
+use changes::{ChangesNotice, ChangesRequest, ChangesResponse, ConfigurationNotice};
 use route::{RouteTable, StreamMoves, VersionVerdict};
 use target::{DomainChange, DomainListing, DomainRecord, LeftTarget, RecordChange};
 
 use crate::cold::{fill_in_cold, record_cold_times, record_taken_back, update_all_cold};
 use crate::context::GatewayContext;
-use crate::messages::{ChangesNotice, ChangesRequest, ChangesResponse, ConfigurationNotice};
 use crate::permits::retain_targets;
 use crate::platform::SourceUpdate;
 use crate::streams::{tell_newly_uncertain, update_versions};
