--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -91,14 +91,16 @@
     }
     let response = changes_since(&context, changes_request);
     // Read after the revision of the response, so that none of it is older.
+    let versions = context.resumes().version_notice(context.now());
+    let moves = context.resumes().move_notice(context.now());
     let changes = PeerChanges {
         response,
         notice: changes_notice(&context),
         configuration: configuration_notice(&context),
-        versions: context.resumes().version_notice(context.now()),
+        versions,
         domains: Some(domain_listing(&context)),
         cold: ColdNotice::of(context.table().as_deref()),
-        moves: context.resumes().move_notice(context.now()),
+        moves,
     };
     match encode_changes(&changes) {
         Ok(bytes) => full_response(PEER_MESSAGE_TYPE, bytes),
