--- a/crates/gateway/src/beats.rs
+++ b/crates/gateway/src/beats.rs
@@ -8,6 +8,7 @@
 
 use base::{Millis, Name};
 use cadence::prelude::*;
+use changes::{ConfigurationNotice, NO_RECORDS, append_part};
 use mesh::{
     Heartbeat, HeartbeatHeader, HeartbeatOutcome, PeerAddresses, ReportRequest, SourceNotice,
     SourceView,
@@ -26,12 +27,12 @@
     ask_for_reports, forget_announcements, is_reported, record_demand, record_load, record_members,
     send_report,
 };
-use crate::downtime::{downtime_notices, merge_downtimes};
-use crate::fetch::{PeerFetch, fetch_from_peers};
+use crate::downtime::{downtime_notices, downtime_notices_for_one, merge_downtimes};
+use crate::fetch::{FetchPurpose, PeerFetch, fetch_from_peers, queue_fetch};
 use crate::messages::{
-    ConfigurationNotice, DowntimeList, HeartbeatNotice, HeartbeatPayload, LeavingNotice,
-    MAX_HEARTBEAT_BYTES, NO_RECORDS, PeerDatagram, PeerMessage, RouterCondition, append_part,
-    decode_heartbeat, decode_peer_message, is_peer_message,
+    DowntimeList, HeartbeatNotice, HeartbeatPayload, LeavingNotice, MAX_HEARTBEAT_BYTES,
+    PeerDatagram, PeerMessage, RouterCondition, decode_heartbeat, decode_peer_message,
+    is_peer_message,
 };
 use crate::offers::{
     answer_offer_request, handle_offer_response, record_placement, record_report, send_reports,
@@ -80,7 +81,8 @@
         }
         let notice = context.quarantine().notice(now);
         let limits = context.limits().notice(now);
-        let heartbeat = encode_heartbeat(&context, &notice, &limits);
+        let downtimes = DowntimeList { targets: downtime_notices(&context) };
+        let heartbeat = encode_heartbeat(&context, &notice, &limits, &downtimes);
         let mut receivers = context.members().receivers(now);
         // Repeats of what is known of crashes are counted by rounds that reach all peers.
         let is_urgent = urgent_rounds > 0 || notice.has_news() || context.is_draining();
@@ -131,6 +133,7 @@
     context: &GatewayContext,
     quarantine: &QuarantineNotice,
     limits: &LimitNotice,
+    downtimes: &DowntimeList,
 ) -> Vec<u8> {
     let now = context.now();
     let mut accounts = context.shares().own_demands(now);
@@ -144,7 +147,6 @@
     let condition = RouterCondition { is_saturated: context.accept_policy().is_saturated() };
     let configuration = ConfigurationNotice { version: context.versions().version() };
     let leaving = LeavingNotice { targets: context.targets().leaving_notices(now) };
-    let downtimes = DowntimeList { targets: downtime_notices(context) };
     // Parts are told apart by their order, so each one needs those before it.
     let has_downtimes = !downtimes.targets.is_empty();
     let has_leaving = has_downtimes || !leaving.targets.is_empty();
@@ -167,7 +169,7 @@
             append_part(&mut bytes, &leaving);
         }
         if has_downtimes {
-            append_part(&mut bytes, &downtimes);
+            append_part(&mut bytes, downtimes);
         }
         let payload = &mut heartbeat.payload;
         if bytes.len() <= MAX_HEARTBEAT_BYTES
@@ -250,7 +252,8 @@
     let now = context.now();
     let notice = context.quarantine().notice_for_one(now);
     let limits = context.limits().notice(now);
-    encode_heartbeat(context, &notice, &limits)
+    let downtimes = DowntimeList { targets: downtime_notices_for_one(context) };
+    encode_heartbeat(context, &notice, &limits, &downtimes)
 }
 
 async fn handle_message(
@@ -315,8 +318,8 @@
     record_peer_read(context, notice.source, now);
     if context.source().record_peer_revision(notice.source.revision, now) {
         let after = context.source().revision;
-        // If the channel is full, a fetch is already pending.
-        let _ = fetch_sender.try_send(PeerFetch { peer: addresses.peers, after });
+        let purpose = FetchPurpose::Changes;
+        queue_fetch(context, PeerFetch { peer: addresses.peers, after, purpose }, fetch_sender);
     }
 }
 
@@ -441,22 +444,17 @@
     let is_behind = context.source().record_peer_revision(revision, now);
     let knows_source = revision > 0 || version.is_some();
     // What a restored source has lost is known to peers alone, whatever the revisions.
-    let needs_all = knows_source
-        && matches!(outcome, HeartbeatOutcome::Joined)
-        && context.start_fetches() < ALL_FETCHES;
+    let needs_all =
+        knows_source && context.start_fetches().allows(outcome == HeartbeatOutcome::Joined, now);
     record_version(context, addresses.peers, version);
     if needs_all || is_behind {
         let after = if needs_all { 0 } else { context.source().revision };
-        // If the channel is full, a fetch is already pending.
-        let is_queued = fetch_sender.try_send(PeerFetch { peer: addresses.peers, after }).is_ok();
-        if needs_all && is_queued {
-            context.count_start_fetch();
-        }
-    } else if let Some(remaining) = context.domain_fetches().checked_sub(1) {
-        let fetch = PeerFetch { peer: addresses.peers, after: NO_RECORDS };
-        if fetch_sender.try_send(fetch).is_ok() {
-            context.set_domain_fetches(remaining);
-        }
+        let purpose = if needs_all { FetchPurpose::Start } else { FetchPurpose::Changes };
+        queue_fetch(context, PeerFetch { peer: addresses.peers, after, purpose }, fetch_sender);
+    } else if context.domain_fetches().allows(false, now) {
+        let purpose = FetchPurpose::Domains;
+        let fetch = PeerFetch { peer: addresses.peers, after: NO_RECORDS, purpose };
+        queue_fetch(context, fetch, fetch_sender);
     }
     outcome
 }
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -12,21 +12,21 @@
 use base::{Millis, MonoClock, Name, Origin, stable_hash};
 use cadence::StatsdClient;
 use mesh::{
-    AnnouncedVersions, HolderList, HolderSettings, MemberSettings, MemberTable, TransferPolicy,
-    TransferSettings,
+    AnnouncedVersions, FetchQuota, HolderList, HolderSettings, MemberSettings, MemberTable,
+    TransferPolicy, TransferSettings,
 };
 use quarantine::{PartQuarantine, QuarantineSettings};
 use rate::{FleetView, RateLimiter, RateSettings};
 use resume::{ResumePolicy, ResumeSettings};
-use route::{RouteTable, VersionGate};
+use route::{EncodedTable, RouteTable, VersionGate};
 use target::{
     BackoffSettings, FullnessSamples, LoadTracker, RegistrySettings, TargetBackoffs, TargetRegistry,
 };
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
+use crate::beats::ALL_FETCHES;
 use crate::cold::{ColdExchange, ColdState};
-use crate::configuration::EncodedConfiguration;
 use crate::offers::OfferExchange;
 use crate::open::OpenWork;
 use crate::permits::PermitExchange;
@@ -109,8 +109,9 @@
     }
 }
 
-/// State shared by every handler and task of the process. Locks are taken one at
-/// a time and never held across an await.
+/// State shared by every handler and task of the process. Locks are taken one at a time and never
+/// held across an await, but for those of `cold`, `versions` and `limits`: `cold` is taken first,
+/// and kept while one of the others is held.
 #[derive(Debug)]
 pub(crate) struct GatewayContext {
     pub(crate) settings: GatewaySettings,
@@ -144,7 +145,7 @@
     pub(crate) holder_found: Notify,
     transfers: Mutex<TransferPolicy>,
     /// The configuration that peers asked for last.
-    encoded_configuration: Mutex<Option<EncodedConfiguration>>,
+    encoded_configuration: Mutex<EncodedTable<ntex::util::Bytes>>,
     /// Lateness of the thread that reads the source and exchanges heartbeats.
     control_lateness: Mutex<ThreadLateness>,
     refusal_log_sampler: Mutex<LogSampler>,
@@ -166,11 +167,10 @@
     pub(crate) open: OpenWork,
     /// Number of live routers, including this one.
     router_count: AtomicUsize,
-    /// Number of peers that were asked for all they know since the start.
-    start_fetches: AtomicUsize,
-    /// Number of peers still to be asked which failure domains are evacuated, as the source was
-    /// restored.
-    domain_fetches: AtomicUsize,
+    /// Peers to be asked for all they know, as this router has started.
+    start_fetches: Mutex<FetchQuota>,
+    /// Peers to be asked which failure domains are evacuated, as the source was restored.
+    domain_fetches: Mutex<FetchQuota>,
 }
 
 /// Returns the heartbeat addresses of `seeds`. All routers use the same ports, so
@@ -273,8 +273,8 @@
             is_closed: AtomicBool::new(false),
             open: OpenWork::default(),
             router_count: AtomicUsize::new(1),
-            start_fetches: AtomicUsize::new(0),
-            domain_fetches: AtomicUsize::new(0),
+            start_fetches: Mutex::new(FetchQuota::of_found(ALL_FETCHES)),
+            domain_fetches: Mutex::new(FetchQuota::of_heard(0)),
         })
     }
 
@@ -364,7 +364,7 @@
         lock(&self.transfers)
     }
 
-    pub(crate) fn encoded_configuration(&self) -> MutexGuard<'_, Option<EncodedConfiguration>> {
+    pub(crate) fn encoded_configuration(&self) -> MutexGuard<'_, EncodedTable<ntex::util::Bytes>> {
         lock(&self.encoded_configuration)
     }
 
@@ -421,20 +421,12 @@
         self.router_count.load(Ordering::Relaxed)
     }
 
-    pub(crate) fn start_fetches(&self) -> usize {
-        self.start_fetches.load(Ordering::Relaxed)
+    pub(crate) fn start_fetches(&self) -> MutexGuard<'_, FetchQuota> {
+        lock(&self.start_fetches)
     }
 
-    pub(crate) fn count_start_fetch(&self) {
-        self.start_fetches.fetch_add(1, Ordering::Relaxed);
-    }
-
-    pub(crate) fn domain_fetches(&self) -> usize {
-        self.domain_fetches.load(Ordering::Relaxed)
-    }
-
-    pub(crate) fn set_domain_fetches(&self, count: usize) {
-        self.domain_fetches.store(count, Ordering::Relaxed);
+    pub(crate) fn domain_fetches(&self) -> MutexGuard<'_, FetchQuota> {
+        lock(&self.domain_fetches)
     }
 
     pub(crate) fn open_calls(&self) -> usize {
