rate: a target counts as warm 6 s after its cold time without answers (RECOVER)

Cause: since configurations that peers pass on keep the cold times, the rates after a cold time hold at all instances, and not only at readers. They grow with the answers that are reported with requests for permits. At an instance of 0.12 of a core, which one account's callers crowd, permits expired before they were used: 650 attempts a second failed with "no valid permit at the write" from 2 s on, 14,917 in all, 2,164 of 2,708 requests in 10 s were refused as NoTarget, and it took none of 2,542 new connections in 4.6 s while it was ready. Change: an instance asks for no permits 6 s after the end of a cold time that it knows. The bound of cold times is as it was.

--- a/crates/rate/src/cold.rs
+++ b/crates/rate/src/cold.rs
@@ -31,6 +31,9 @@
 /// Increase of the rate of a target after its cold time for each request that it answers in
 /// full, in requests per second. The rate thereby grows e-fold in a second at most.
 const GROWTH_PER_S: f64 = 1.0;
+/// Time in milliseconds after its cold time from which on a target counts as warm without answers:
+/// the permits of an instance that is late expire unused, so that it would never learn of any.
+pub(crate) const WARM_AFTER_MS: Millis = 6_000;
 /// Time in seconds for which the unused rate of such a target is saved.
 const GROWTH_BURST_S: f64 = 0.25;
 
--- a/crates/rate/src/cold_permits.rs
+++ b/crates/rate/src/cold_permits.rs
@@ -5,7 +5,7 @@
 
 use base::Millis;
 
-use crate::cold::{COLD_PERMIT_MS, ColdBounds, ColdLimit};
+use crate::cold::{COLD_PERMIT_MS, ColdBounds, ColdLimit, WARM_AFTER_MS};
 use crate::cold_issuer::{ColdAskView, ColdIssuer};
 use crate::key::RateKey;
 use crate::limiter::{RateLimiter, RequestClass};
@@ -200,6 +200,10 @@
         let settings = self.settings;
         let ColdPermits { bounds, targets, pending, issuer } = &mut self.cold;
         let (target, bounds) = (targets.get_mut(&key)?, (*bounds)?);
+        if now >= target.limit.until.saturating_add(WARM_AFTER_MS) {
+            targets.remove(&key);
+            return None;
+        }
         if let Some(expires_at) = target.take_unused(now) {
             return Some(ColdDecision::Granted { expires_at, is_kept: true });
         }
--- a/crates/rate/tests/cold/limits.rs
+++ b/crates/rate/tests/cold/limits.rs
@@ -94,6 +94,16 @@
     assert!(!limiter.needs_cold_permit(key()));
 }
 
+/// Guards against an instance that is starved of targets long after their cold time, as its permits
+/// expire before it sends and so it reports no answers (RECOVER).
+#[test]
+fn targets_are_warm_long_after_their_cold_time_without_answers() {
+    let mut limiter = limiter(Some(BOUNDS));
+    limiter.set_cold(key(), limit(START_MS + 1_000), START_MS);
+    assert!(limiter.acquire_cold(key(), RequestClass::Regular, START_MS + 7_000).is_none());
+    assert!(!limiter.needs_cold_permit(key()));
+}
+
 /// Guards against a cold time that begins anew unnoticed, and one that outlasts a later entry.
 #[test]
 fn last_known_end_of_the_cold_time_holds() {
