rate: permits issued after a cold time are valid for a second (RECOVER)

Cause: the permits of a target that is no longer cold expired 200 ms after the request for them, as those of cold targets do, though the hard bound that needs this no longer holds. Change: the issuer says after which time it issued a permit (`GrantedWarming`). Such a permit is valid for as long as one of a named limit (1 s) and is void once the target is cold again.

--- a/crates/gateway/src/cold.rs
+++ b/crates/gateway/src/cold.rs
@@ -9,8 +9,7 @@
 use base::{Millis, Name};
 use cadence::prelude::*;
 use rate::{
-    COLD_PERMIT_MS, ColdAsk, ColdDecision, ColdLimit, ColdRequest, ColdResponse, RateKey,
-    RequestClass,
+    ColdAsk, ColdDecision, ColdGrant, ColdLimit, ColdRequest, ColdResponse, RateKey, RequestClass,
 };
 use route::ColdSpec;
 use target::{ColdTargets, RecentSends, TargetEntry, TargetRecord};
@@ -34,8 +33,7 @@
 /// A permit of a target that is cold, or was so lately.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ColdPermit {
-    /// In milliseconds on this instance's clock.
-    pub(crate) expires_at: Millis,
+    pub(crate) grant: ColdGrant,
     pub(crate) origin: PermitOrigin,
 }
 
@@ -75,9 +73,8 @@
     incarnation: Option<u64>,
 }
 
-/// When the permit that a request waits for expires; `None` if it was denied.
-type ColdGrant = Option<Millis>;
-type ColdWaiters = HashMap<u64, (RateKey, oneshot::Sender<ColdGrant>)>;
+/// Requests that wait for permits; they are sent `None` if theirs was denied.
+type ColdWaiters = HashMap<u64, (RateKey, oneshot::Sender<Option<ColdGrant>>)>;
 
 /// Requests of this router that wait for permits of cold targets.
 #[derive(Debug, Default)]
@@ -223,7 +220,7 @@
         context.cold().sends.record(&entry.id, now);
     }
     let Some(permit) = permit else { return };
-    let left_ms = permit.expires_at.saturating_sub(now);
+    let left_ms = permit.grant.expires_at.saturating_sub(now);
     let is_cold = context.limits().is_cold(rate_key(entry), now);
     context.metrics.incr(permit.origin.metric()).ok();
     tracing::info!(
@@ -234,7 +231,7 @@
         incarnation = entry.incarnation,
         is_cold,
         issuer = %permit.origin,
-        age_ms = COLD_PERMIT_MS.saturating_sub(left_ms),
+        age_ms = now.saturating_sub(permit.grant.asked_at),
         left_ms,
     );
 }
@@ -301,9 +298,9 @@
 ) -> Option<Result<SendPermit, Millis>> {
     let decision = context.limits().acquire_cold(key, class, context.now())?;
     Some(match decision {
-        ColdDecision::Granted { expires_at, is_kept } => {
+        ColdDecision::Granted { grant, is_kept } => {
             let origin = if is_kept { PermitOrigin::Kept } else { PermitOrigin::Own };
-            Ok(SendPermit::new_cold(context, key, ColdPermit { expires_at, origin }))
+            Ok(SendPermit::new_cold(context, key, ColdPermit { grant, origin }))
         }
         ColdDecision::Unavailable { retry_ms } => Err(retry_ms),
         ColdDecision::Ask(ask) => ask_issuer(context, key, ask).await,
@@ -323,10 +320,10 @@
     let result = tokio::time::timeout(PERMIT_TIMEOUT, receiver).await;
     drop(awaited);
     match result {
-        Ok(Ok(Some(expires_at))) => {
+        Ok(Ok(Some(grant))) => {
             context.metrics.incr("permits.granted").ok();
             let origin = PermitOrigin::Peer(issuer);
-            Ok(SendPermit::new_cold(context, key, ColdPermit { expires_at, origin }))
+            Ok(SendPermit::new_cold(context, key, ColdPermit { grant, origin }))
         }
         Ok(Ok(None)) => {
             context.metrics.incr("permits.denied").ok();
@@ -356,7 +353,7 @@
     let grant = context.limits().record_cold_permit(response, context.now());
     let waiter = context.cold_permits.waiters().remove(&response.number);
     let Some((key, sender)) = waiter else { return };
-    if let Err(Some(expires_at)) = sender.send(grant) {
-        context.limits().give_back_cold(key, expires_at);
+    if let Err(Some(grant)) = sender.send(grant) {
+        context.limits().give_back_cold(key, grant);
     }
 }
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -90,7 +90,9 @@
     /// become cold since a permit without a time was acquired.
     pub(crate) fn is_valid(&self, entry: &TargetEntry, now: Millis) -> bool {
         match self.cold {
-            Some(permit) => now < permit.expires_at,
+            Some(permit) => {
+                self.context.limits().is_cold_permit_valid(rate_key(entry), permit.grant, now)
+            }
             None => !self.context.limits().needs_cold_permit(rate_key(entry)),
         }
     }
@@ -111,7 +113,7 @@
         if let Some(key) = self.key.filter(|_| !self.is_used) {
             let now = self.context.now();
             match self.cold {
-                Some(permit) => self.context.limits().give_back_cold(key, permit.expires_at),
+                Some(permit) => self.context.limits().give_back_cold(key, permit.grant),
                 None => self.context.limits().give_back(key, now),
             }
         }
--- a/crates/rate/src/cold_issuer.rs
+++ b/crates/rate/src/cold_issuer.rs
@@ -71,7 +71,8 @@
         target.cold_until = target.cold_until.max(ask.limit.until);
         let elapsed_s = now.saturating_sub(target.asked_at) as f64 / 1_000.0;
         target.asked_at = now;
-        let rate = if now < target.cold_until {
+        let is_cold = now < target.cold_until;
+        let rate = if is_cold {
             target.answered = 0;
             let Some(rate) = bounds.rate(per_second, fleet.role(key, now)) else {
                 // What was saved in another role may be issued by another instance now.
@@ -94,7 +95,8 @@
         };
         target.waiting = (target.waiting - elapsed_s * rate.per_second).max(0.0);
         match target.bucket.take(rate, reserve, now) {
-            Ok(()) => ColdOutcome::Granted,
+            Ok(()) if is_cold => ColdOutcome::Granted,
+            Ok(()) => ColdOutcome::GrantedWarming,
             Err(wait_ms) => {
                 // Instances that are denied together come back one after the other.
                 let queue_ms = target.waiting / rate.per_second * 1_000.0;
--- a/crates/rate/src/cold_permits.rs
+++ b/crates/rate/src/cold_permits.rs
@@ -21,12 +21,24 @@
     pub request: ColdRequest,
 }
 
+/// Permit to send one request to a target that is cold or was so lately.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ColdGrant {
+    /// When it was asked for, in milliseconds on this instance's clock; it was issued later.
+    pub asked_at: Millis,
+    /// The request may be written before this time, in milliseconds on this instance's clock.
+    pub expires_at: Millis,
+    /// Whether it was issued after the cold time. It is then worth nothing once the target is cold
+    /// again, as no bound of cold times holds for it.
+    pub is_warming: bool,
+}
+
 /// Whether a request may be sent to a target that is cold or was so lately.
 #[derive(Clone, Copy, Debug)]
 pub enum ColdDecision {
-    /// The request may be sent before this time, in milliseconds on this instance's clock.
+    /// The request may be sent.
     Granted {
-        expires_at: Millis,
+        grant: ColdGrant,
         /// Whether it is a permit of an earlier request that was not sent.
         is_kept: bool,
     },
@@ -45,9 +57,9 @@
     limit: ColdLimit,
     /// Identifies the target in requests for permits; its own key unless it is set.
     permit_key: RateKey,
-    /// When each unused permit expires. An unused permit keeps its first time, so that it does not
-    /// add to those that are issued later.
-    unused: VecDeque<Millis>,
+    /// Unused permits. They keep their first times, so that they do not add to those that are issued
+    /// later.
+    unused: VecDeque<ColdGrant>,
     denied_until: Millis,
     /// The same for requests of [`RequestClass::Spare`].
     spare_denied_until: Millis,
@@ -73,6 +85,14 @@
     issuer: ColdIssuer,
 }
 
+impl ColdGrant {
+    fn new(outcome: ColdOutcome, asked_at: Millis, warming_ms: Millis) -> Self {
+        let is_warming = outcome == ColdOutcome::GrantedWarming;
+        let valid_ms = if is_warming { warming_ms } else { COLD_PERMIT_MS };
+        Self { asked_at, expires_at: asked_at.saturating_add(valid_ms), is_warming }
+    }
+}
+
 impl ColdPermits {
     pub(crate) fn is_empty(&self) -> bool {
         self.targets.is_empty()
@@ -91,7 +111,7 @@
 
     pub(crate) fn wait_ms(&self, key: RateKey, class: RequestClass, now: Millis) -> Option<Millis> {
         let target = self.targets.get(&key)?;
-        if target.unused.iter().any(|expires_at| now < *expires_at) {
+        if target.unused.iter().any(|grant| target.is_valid(*grant, now)) {
             return Some(0);
         }
         Some(target.denied_until(class).saturating_sub(now))
@@ -113,14 +133,18 @@
         }
     }
 
-    fn take_unused(&mut self, now: Millis) -> Option<Millis> {
-        while let Some(expires_at) = self.unused.pop_front() {
-            if now < expires_at {
-                return Some(expires_at);
+    fn take_unused(&mut self, now: Millis) -> Option<ColdGrant> {
+        while let Some(grant) = self.unused.pop_front() {
+            if self.is_valid(grant, now) {
+                return Some(grant);
             }
         }
         None
     }
+
+    fn is_valid(&self, grant: ColdGrant, now: Millis) -> bool {
+        now < grant.expires_at && !(grant.is_warming && now < self.limit.until)
+    }
 }
 
 impl RateLimiter {
@@ -204,8 +228,8 @@
             targets.remove(&key);
             return None;
         }
-        if let Some(expires_at) = target.take_unused(now) {
-            return Some(ColdDecision::Granted { expires_at, is_kept: true });
+        if let Some(grant) = target.take_unused(now) {
+            return Some(ColdDecision::Granted { grant, is_kept: true });
         }
         let denied_until = target.denied_until(class);
         if now < denied_until {
@@ -217,9 +241,9 @@
             let ask = ColdAskView { limit: target.limit, named, class, answered, reserve };
             let outcome = issuer.issue(target.permit_key, ask, &self.cold_fleet, bounds, now);
             return match outcome {
-                ColdOutcome::Granted => {
-                    let expires_at = now + COLD_PERMIT_MS;
-                    Some(ColdDecision::Granted { expires_at, is_kept: false })
+                ColdOutcome::Granted | ColdOutcome::GrantedWarming => {
+                    let grant = ColdGrant::new(outcome, now, settings.permit_ms);
+                    Some(ColdDecision::Granted { grant, is_kept: false })
                 }
                 ColdOutcome::Denied { retry_ms } => {
                     target.deny(class, now + retry_ms);
@@ -263,21 +287,21 @@
         }
     }
 
-    /// Records the response of an issuer. Returns when the permit of the request that waits for
-    /// it expires, in milliseconds on this instance's clock; `None` if none waits or none was
-    /// granted.
-    pub fn record_cold_permit(&mut self, response: ColdResponse, now: Millis) -> Option<Millis> {
+    /// Records the response of an issuer. Returns the permit of the request that waits for it; `None`
+    /// if none waits or none was granted.
+    pub fn record_cold_permit(&mut self, response: ColdResponse, now: Millis) -> Option<ColdGrant> {
         let ask = self.cold.pending.remove(&response.number)?;
-        // Issued after the request for it, so that the permit is not older than it seems.
-        let expires_at = ask.asked_at + COLD_PERMIT_MS;
         match response.outcome {
-            ColdOutcome::Granted if now < expires_at => {
+            ColdOutcome::Granted | ColdOutcome::GrantedWarming => {
+                let grant = ColdGrant::new(response.outcome, ask.asked_at, self.settings.permit_ms);
+                if now >= grant.expires_at {
+                    return None;
+                }
                 if ask.is_awaited {
-                    return Some(expires_at);
+                    return Some(grant);
                 }
-                self.give_back_cold(ask.key, expires_at);
+                self.give_back_cold(ask.key, grant);
             }
-            ColdOutcome::Granted => {}
             ColdOutcome::Denied { retry_ms } => {
                 if let Some(target) = self.cold.targets.get_mut(&ask.key) {
                     target.deny(ask.class, now + retry_ms.min(self.settings.permit_ms));
@@ -295,12 +319,18 @@
     }
 
     /// Keeps a permit whose request was not sent for the next request, until it expires.
-    pub fn give_back_cold(&mut self, key: RateKey, expires_at: Millis) {
+    pub fn give_back_cold(&mut self, key: RateKey, grant: ColdGrant) {
         if let Some(target) = self.cold.targets.get_mut(&key) {
-            target.unused.push_back(expires_at);
+            target.unused.push_back(grant);
         }
     }
 
+    /// Whether a request may be written with a permit now.
+    pub fn is_cold_permit_valid(&self, key: RateKey, grant: ColdGrant, now: Millis) -> bool {
+        let is_void = grant.is_warming && self.is_cold(key, now);
+        now < grant.expires_at && !is_void
+    }
+
     /// Decides on a peer's request for a permit.
     pub fn respond_cold(&mut self, request: ColdRequest, now: Millis) -> ColdResponse {
         let ColdRequest { number, key, fact, class, per_second, left_ms, answered } = request;
--- a/crates/rate/src/lib.rs
+++ b/crates/rate/src/lib.rs
@@ -38,7 +38,7 @@
 mod settings;
 
 pub use cold::{COLD_PERMIT_MS, ColdBounds, ColdLimit};
-pub use cold_permits::{ColdAsk, ColdDecision};
+pub use cold_permits::{ColdAsk, ColdDecision, ColdGrant};
 pub use facts::{LimitChange, LimitFact};
 pub use fleet::{FleetView, LivePeer};
 pub use key::RateKey;
--- a/crates/rate/src/message.rs
+++ b/crates/rate/src/message.rs
@@ -88,4 +88,7 @@
     },
     /// The target has answered enough since its cold time and needs no more permits.
     Warm,
+    /// As [`ColdOutcome::Granted`], after the cold time: no hard bound holds for the target, so the
+    /// permit is valid for as long as one of a named limit.
+    GrantedWarming,
 }
--- a/crates/rate/tests/cold/limits.rs
+++ b/crates/rate/tests/cold/limits.rs
@@ -64,14 +64,15 @@
     let mut acquire = |now| limiter.acquire_cold(key(), RequestClass::Regular, now);
     assert!(matches!(acquire(START_MS), Some(ColdDecision::Unavailable { .. })));
     let granted_at = START_MS + 500;
-    let Some(ColdDecision::Granted { expires_at, .. }) = acquire(granted_at) else {
+    let Some(ColdDecision::Granted { grant, .. }) = acquire(granted_at) else {
         panic!("no permit after half a second");
     };
+    let expires_at = grant.expires_at;
     assert!(expires_at <= granted_at + 200, "valid for {} ms", expires_at - granted_at);
-    limiter.give_back_cold(key(), expires_at);
+    limiter.give_back_cold(key(), grant);
     let again = limiter.acquire_cold(key(), RequestClass::Regular, granted_at + 100);
     assert!(
-        matches!(again, Some(ColdDecision::Granted { expires_at: at, .. }) if at == expires_at),
+        matches!(again, Some(ColdDecision::Granted { grant, .. }) if grant.expires_at == expires_at),
         "{again:?}"
     );
 }
@@ -94,6 +95,24 @@
     assert!(!limiter.needs_cold_permit(key()));
 }
 
+/// Guards against an instance that is starved of a target after its cold time, as its thread is late
+/// and permits expire before it sends (RECOVER), and against such permits once the target is cold again.
+#[test]
+fn permits_after_the_cold_time_outlast_a_late_thread() {
+    let mut limiter = limiter(Some(BOUNDS));
+    let until = START_MS + 1_000;
+    limiter.set_cold(key(), limit(until), START_MS);
+    limiter.acquire_cold(key(), RequestClass::Regular, until);
+    let decision = limiter.acquire_cold(key(), RequestClass::Regular, until + 500);
+    let Some(ColdDecision::Granted { grant, .. }) = decision else { panic!("{decision:?}") };
+    assert!(limiter.is_cold_permit_valid(key(), grant, until + 1_300), "{grant:?}");
+    limiter.set_cold(key(), limit(until + 4_000), until + 600);
+    assert!(!limiter.is_cold_permit_valid(key(), grant, until + 600), "{grant:?}");
+    limiter.give_back_cold(key(), grant);
+    let again = limiter.acquire_cold(key(), RequestClass::Regular, until + 600);
+    assert!(!matches!(again, Some(ColdDecision::Granted { is_kept: true, .. })), "{again:?}");
+}
+
 /// Guards against an instance that is starved of targets long after their cold time, as its permits
 /// expire before it sends and so it reports no answers (RECOVER).
 #[test]
--- a/crates/rate/tests/cold/restart.rs
+++ b/crates/rate/tests/cold/restart.rs
@@ -5,8 +5,8 @@
 use std::net::SocketAddr;
 
 use rate::{
-    ColdBounds, ColdDecision, ColdLimit, ColdRequest, ColdResponse, FleetView, LivePeer, RateKey,
-    RateLimiter, RateSettings, RequestClass,
+    ColdBounds, ColdDecision, ColdGrant, ColdLimit, ColdRequest, ColdResponse, FleetView, LivePeer,
+    RateKey, RateLimiter, RateSettings, RequestClass,
 };
 use target::{ColdTargets, DowntimeNotice, TargetEntry, TargetRecord, TargetState};
 
@@ -35,8 +35,8 @@
 enum Event {
     Ask(usize, ColdRequest),
     Permit(ColdResponse),
-    /// A connection is begun, with a permit that expires at that time.
-    Connect(u64),
+    /// A connection is begun, with a permit if one is needed.
+    Connect(Option<ColdGrant>),
     Answer(u64),
     Notices(Vec<DowntimeNotice>),
 }
@@ -191,9 +191,9 @@
         }
         let key = key(instance.entry.incarnation);
         match instance.limiter.acquire_cold(key, RequestClass::Regular, now) {
-            None => self.post(index, STEP_MS, Event::Connect(u64::MAX)),
-            Some(ColdDecision::Granted { expires_at, .. }) => {
-                self.post(index, STEP_MS, Event::Connect(expires_at));
+            None => self.post(index, STEP_MS, Event::Connect(None)),
+            Some(ColdDecision::Granted { grant, .. }) => {
+                self.post(index, STEP_MS, Event::Connect(Some(grant)));
             }
             Some(ColdDecision::Unavailable { .. }) => {}
             Some(ColdDecision::Ask(ask)) => {
@@ -212,11 +212,11 @@
                 self.post(peer, STEP_MS, Event::Permit(response));
             }
             Event::Permit(response) => {
-                if let Some(expires_at) = instance.limiter.record_cold_permit(response, now) {
-                    self.post(index, STEP_MS, Event::Connect(expires_at));
+                if let Some(grant) = instance.limiter.record_cold_permit(response, now) {
+                    self.post(index, STEP_MS, Event::Connect(Some(grant)));
                 }
             }
-            Event::Connect(expires_at) => self.connect(index, expires_at),
+            Event::Connect(grant) => self.connect(index, grant),
             Event::Answer(sent_at) => {
                 if instance.targets.record_answered(&instance.entry, sent_at, now) {
                     instance.update(now);
@@ -233,7 +233,7 @@
         }
     }
 
-    fn connect(&mut self, index: usize, expires_at: u64) {
+    fn connect(&mut self, index: usize, grant: Option<ColdGrant>) {
         let now = self.now;
         let takes_evidence = self.takes_evidence;
         let instance = &mut self.instances[index];
@@ -245,8 +245,12 @@
             }
             return;
         }
-        let needs_permit = instance.limiter.needs_cold_permit(key(instance.entry.incarnation));
-        if now >= expires_at || (expires_at == u64::MAX && needs_permit) {
+        let key = key(instance.entry.incarnation);
+        let is_valid = match grant {
+            Some(grant) => instance.limiter.is_cold_permit_valid(key, grant, now),
+            None => !instance.limiter.needs_cold_permit(key),
+        };
+        if !is_valid {
             return;
         }
         if now >= STARTS_AT {
--- a/crates/rate/tests/cold/simulation.rs
+++ b/crates/rate/tests/cold/simulation.rs
@@ -358,12 +358,12 @@
                 self.post(index, peer, Message::Permit(response));
             }
             Message::Permit(response) => {
-                let expires_at = instance.limiter.record_cold_permit(response, own_now);
+                let grant = instance.limiter.record_cold_permit(response, own_now);
                 let position =
                     instance.waiting.iter().position(|call| call.number == response.number);
                 let call = position.map(|position| instance.waiting.swap_remove(position));
-                if let (Some(expires_at), Some(call)) = (expires_at, call) {
-                    self.connect(index, call.target, expires_at);
+                if let (Some(grant), Some(call)) = (grant, call) {
+                    self.connect(index, call.target, grant.expires_at);
                 }
             }
             Message::Connected(target, expires_at) => {
@@ -405,8 +405,8 @@
         let own_now = self.now - instance.started_at;
         match instance.limiter.acquire_cold(key(target), RequestClass::Regular, own_now) {
             None => self.connect(index, target, u64::MAX),
-            Some(ColdDecision::Granted { expires_at, .. }) => {
-                self.connect(index, target, expires_at)
+            Some(ColdDecision::Granted { grant, .. }) => {
+                self.connect(index, target, grant.expires_at)
             }
             Some(ColdDecision::Unavailable { .. }) => {}
             Some(ColdDecision::Ask(ask)) => {
