router: the thread that serves callers counts what is open before the exit

What callers saw: a request whose body was still arriving 1 s after SIGTERM got no answer, and a caller whose refusal was not written got none either (the latter by reading). Cause: the drain read `open_requests` on another thread than the one that serves callers, and a request counted only once its body was read. Nothing counted refusals. Ruled out: counting from the head on in `open_requests` alone, as the count would still be read between two steps of a connection, and refusals would end before they are written. Change: the questions of a stop to the serving thread move from poplar-gateway to `inbound::OpenCounter`, and both programs use them with `admit::StopCycle`. A connection with a request in progress counts as well, which covers bodies and refusals. `drain_ended` tells how many connections were not finished.

--- a/crates/bench/tests/processes/stop.rs
+++ b/crates/bench/tests/processes/stop.rs
@@ -10,7 +10,7 @@
 use serde_json::json;
 use socket2::{Domain, Socket, Type};
 
-use crate::fixture::{ACCOUNT, with_fleet, with_plan};
+use crate::fixture::{ACCOUNT, APP, IDEMPOTENT_PATH, with_fleet, with_plan};
 use crate::slow_readers::{plain_request, start_proxies, stream_request_of};
 
 /// Time in which a router that stops must exit.
@@ -33,6 +33,10 @@
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time between a request and the signal.
 const SIGNAL_DELAY: Duration = Duration::from_millis(300);
+/// Parts in which a request is sent beside a stop, and the time between two: longer than the notice
+/// of a stop together.
+const PARTS: usize = 12;
+const PART_PAUSE: Duration = Duration::from_millis(200);
 
 /// Checks that the first router exits in order.
 fn check_exit(fleet: &mut RunningFleet) -> anyhow::Result<()> {
@@ -155,3 +159,38 @@
         Ok(())
     });
 }
+
+/// Sends a request in parts while the router is told to stop, and returns its answer.
+fn send_in_parts(fleet: &RunningFleet, request: &str) -> anyhow::Result<String> {
+    let mut stream = TcpStream::connect(fleet.routers[0].address)?;
+    stream.set_read_timeout(Some(READ_TIMEOUT))?;
+    for (index, part) in request.as_bytes().chunks(request.len().div_ceil(PARTS)).enumerate() {
+        // Fails once the process has exited.
+        let _ = stream.write_all(part);
+        std::thread::sleep(PART_PAUSE);
+        if index == 0 {
+            fleet.signal(0, Signal::SIGTERM)?;
+        }
+    }
+    let mut answer = Vec::new();
+    // A connection that breaks off ends the answer.
+    let _ = stream.read_to_end(&mut answer);
+    Ok(String::from_utf8_lossy(&answer).into_owned())
+}
+
+/// Guards against a request without an answer (LOST): its body still arrives when the router stops,
+/// and the process exits before it refuses it.
+#[test]
+fn request_whose_body_arrives_beside_a_stop_is_refused() {
+    with_fleet(1, |mut fleet, _caller| async move {
+        let body = "a".repeat(8 << 10);
+        let request = format!(
+            "POST /v1/call/{APP}{IDEMPOTENT_PATH} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+             authorization: Bearer demo-{ACCOUNT}\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        let answer = send_in_parts(&fleet, &request)?;
+        assert!(answer.contains("\"code\":\"draining\",\"ran\":\"no\""), "{answer:?}");
+        check_exit(&mut fleet)
+    });
+}
--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use base::Millis;
-use inbound::{ConnectionGate, MAX_HANDED_OVER};
+use inbound::{ConnectionGate, MAX_HANDED_OVER, OpenCounter};
 use ntex::http::{HttpService, Request};
 use ntex::rt::Arbiter;
 use ntex::service::fn_service;
@@ -35,6 +35,14 @@
     fn open(self: &Arc<Self>) -> OpenConnection {
         OpenConnection::new(self)
     }
+
+    fn open_requests(&self) -> usize {
+        self.open_calls()
+    }
+
+    fn open_counter(&self) -> &OpenCounter {
+        &self.open.counter
+    }
 }
 
 /// Binds the address for callers and serves their connections until the process stops.
--- a/crates/gateway/src/open.rs
+++ b/crates/gateway/src/open.rs
@@ -1,12 +1,11 @@
 //! Requests and connections of callers that are open.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, OnceLock};
+use std::sync::{Arc, Mutex};
 
-use admit::OpenCounts;
 use base::{Millis, Name};
+use inbound::OpenCounter;
 use slotmap::{SlotMap, new_key_type};
-use tokio::sync::{mpsc, oneshot};
 
 use crate::context::{GatewayContext, lock};
 
@@ -25,13 +24,9 @@
     unwritten: AtomicUsize,
     /// Connections of callers that are accepted and not closed.
     connections: AtomicUsize,
-    /// Asks the thread that serves callers what is open.
-    counter: OnceLock<mpsc::UnboundedSender<CountReply>>,
+    pub(crate) counter: OpenCounter,
 }
 
-/// Takes what is open.
-pub(crate) type CountReply = oneshot::Sender<OpenCounts>;
-
 impl OpenWork {
     pub(crate) fn calls(&self) -> usize {
         self.calls.load(Ordering::SeqCst)
@@ -41,20 +36,6 @@
         self.connections.load(Ordering::Relaxed)
     }
 
-    /// Returns the questions to the thread that serves callers; to be called by that thread, once.
-    pub(crate) fn counter(&self) -> mpsc::UnboundedReceiver<CountReply> {
-        let (sender, receiver) = mpsc::unbounded_channel();
-        self.counter.get_or_init(|| sender);
-        receiver
-    }
-
-    /// Asks the thread that serves callers what is open; none before it runs.
-    pub(crate) fn count(&self) -> Option<oneshot::Receiver<OpenCounts>> {
-        let (sender, receiver) = oneshot::channel();
-        self.counter.get()?.send(sender).ok()?;
-        Some(receiver)
-    }
-
     /// Returns how many requests have not been reported.
     pub(crate) fn unreported_calls(&self) -> usize {
         lock(&self.reports).len()
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use admit::{OpenCounts, StopCycle, StopPlan, StopSettings, StopStep};
+use admit::{StopCycle, StopPlan, StopSettings, StopStep};
 use base::Millis;
 
 use crate::context::{GatewayContext, millis};
@@ -58,7 +58,7 @@
             }
             is_notice_over = true;
         }
-        let open = count_open(context).await;
+        let open = context.open.counter.count(DRAIN_POLL_PERIOD).await;
         match cycle.step(context.now(), open) {
             StopStep::Wait => tokio::time::sleep(DRAIN_POLL_PERIOD).await,
             StopStep::Close => {
@@ -73,15 +73,6 @@
     tracing::info!(unit = "run", event = "drained", took_ms, cut = context.open_calls());
 }
 
-/// Counts what is open, on the thread that serves callers. While that thread is late, something
-/// counts as open.
-async fn count_open(context: &GatewayContext) -> OpenCounts {
-    let unknown = OpenCounts { requests: context.open_calls().max(1), connections: 0 };
-    let Some(counting) = context.open.count() else { return unknown };
-    let counted = tokio::time::timeout(DRAIN_POLL_PERIOD, counting).await;
-    counted.ok().and_then(Result::ok).unwrap_or(unknown)
-}
-
 fn log_progress(context: &GatewayContext, unsignalled_at: Millis) {
     let now = context.now();
     let after_ms = now.saturating_sub(unsignalled_at);
--- a/crates/gateway/src/worker.rs
+++ b/crates/gateway/src/worker.rs
@@ -6,7 +6,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use admit::OpenCounts;
 use base::{Millis, Name};
 use cadence::prelude::*;
 use inbound::{BusyConnection, CallerConnections};
@@ -15,10 +14,8 @@
     Connection, ConnectionPool, ExchangeError, PoolSettings, connect_buffered, max_idle_connections,
 };
 use target::TargetEntry;
-use tokio::sync::mpsc;
 
 use crate::context::GatewayContext;
-use crate::open::CountReply;
 
 /// Time to open a connection to a target: allows for a round trip between failure
 /// domains and one lost packet.
@@ -58,7 +55,6 @@
         ntex::rt::spawn(sweep_connections(Rc::clone(self)));
         ntex::rt::spawn(watch_lateness(Rc::clone(self)));
         ntex::rt::spawn(end_at_exit(Rc::clone(self)));
-        ntex::rt::spawn(count_open(Rc::clone(self), self.context.open.counter()));
     }
 
     /// Marks a caller's connection as busy until the guard is dropped; `None` if this
@@ -158,17 +154,6 @@
     }
 }
 
-/// Counts what is open, whenever a stop asks.
-async fn count_open(worker: Rc<Worker>, mut replies: mpsc::UnboundedReceiver<CountReply>) {
-    while let Some(reply) = replies.recv().await {
-        // Requests that were read in this turn of the thread begin.
-        tokio::task::yield_now().await;
-        let connections = worker.connections.unfinished_connections();
-        // A stop that does not wait any more asks again.
-        let _ = reply.send(OpenCounts { requests: worker.context.open_calls(), connections });
-    }
-}
-
 /// Ends what is open when the process exits, so that it is reported.
 async fn end_at_exit(worker: Rc<Worker>) {
     worker.context.exiting.cancelled().await;
--- a/crates/inbound/src/accept.rs
+++ b/crates/inbound/src/accept.rs
@@ -18,6 +18,7 @@
 
 use crate::answers::settle_answers;
 use crate::connections::CallerConnections;
+use crate::counting::{OpenCounter, answer_questions};
 
 /// Length of the accept queue. A full queue delays callers by seconds.
 const LISTEN_BACKLOG: i32 = 128;
@@ -43,6 +44,12 @@
     fn may_accept(&self, pause_ms: Millis) -> bool;
 
     fn open(self: &Arc<Self>) -> Self::Guard;
+
+    /// Returns the number of requests that count as open.
+    fn open_requests(&self) -> usize;
+
+    /// Returns what a stop asks what is open.
+    fn open_counter(&self) -> &OpenCounter;
 }
 
 /// A connection that counts as open until it is dropped.
@@ -114,6 +121,8 @@
     };
     let pipeline = Pipeline::new(service);
     ntex::rt::spawn(settle_answers(Rc::clone(&connections)));
+    let questions = gate.open_counter().questions();
+    ntex::rt::spawn(answer_questions(Arc::clone(&gate), Rc::clone(&connections), questions));
     while let Some(AcceptedConnection { stream, guard }) = receiver.recv().await {
         let io = match ntex::rt::from_tcp_stream(stream, config.clone()) {
             Ok(io) => io,
--- a/crates/inbound/src/connections.rs
+++ b/crates/inbound/src/connections.rs
@@ -248,16 +248,17 @@
         due.len()
     }
 
-    /// Returns the number of connections with bytes that are not written, or with a whole head of
-    /// a request that has not begun.
+    /// Returns the number of connections with bytes that are not written, or with a request that
+    /// is being read or answered, or whose whole head has been read.
     pub fn unfinished_connections(&self) -> usize {
         let entries = self.entries.borrow();
         let is_unfinished = |(io, entry): &(&IoRef, &ConnectionEntry)| {
-            let waits = !matches!(entry.state, ConnectionState::Busy(_) | ConnectionState::Closing);
+            let is_busy = matches!(entry.state, ConnectionState::Busy(_));
+            let is_closing = entry.state == ConnectionState::Closing;
             let has_head = || {
                 io.with_read_buf(|bytes| bytes.windows(HEAD_END.len()).any(|end| end == HEAD_END))
             };
-            !io.is_closed() && (unwritten_bytes(io) > 0 || waits && has_head())
+            !io.is_closed() && (unwritten_bytes(io) > 0 || is_busy || !is_closing && has_head())
         };
         entries.iter().filter(is_unfinished).count()
     }
--- a/crates/inbound/src/lib.rs
+++ b/crates/inbound/src/lib.rs
@@ -1,12 +1,14 @@
 //! Callers' connections, for `poplar-router` and `poplar-gateway`: they are accepted while the
 //! limits of [`admit`](../admit/index.html) allow it, the longest idle ones are closed before
 //! there are too many, and those whose callers take nothing are terminated. An answer is over when
-//! it has been written.
+//! it has been written. A stop asks what is open.
 
 mod accept;
 mod answers;
 mod connections;
+mod counting;
 
 pub use accept::{AcceptedConnection, ConnectionGate, MAX_HANDED_OVER, accept, listen, serve};
 pub use answers::{AnswerEnd, HandedAnswer, unwritten_bytes};
 pub use connections::{BusyConnection, CallerConnections, DISCONNECT_TIMEOUT};
+pub use counting::{CountQuestions, OpenCounter};
--- a/crates/router/src/accept.rs
+++ b/crates/router/src/accept.rs
@@ -8,7 +8,9 @@
 use anyhow::Context;
 use base::Millis;
 use cadence::prelude::*;
-use inbound::{AcceptedConnection, CallerConnections, ConnectionGate, MAX_HANDED_OVER};
+use inbound::{
+    AcceptedConnection, CallerConnections, ConnectionGate, MAX_HANDED_OVER, OpenCounter,
+};
 use ntex::http::HttpService;
 use ntex::rt::Arbiter;
 use ntex::web::{self, App};
@@ -43,6 +45,14 @@
     fn open(self: &Arc<Self>) -> OpenConnection {
         OpenConnection::new(self)
     }
+
+    fn open_requests(&self) -> usize {
+        self.core().open_requests
+    }
+
+    fn open_counter(&self) -> &OpenCounter {
+        &self.open_counter
+    }
 }
 
 /// Binds the address for callers and serves their connections until the process stops.
--- a/crates/router/src/context.rs
+++ b/crates/router/src/context.rs
@@ -7,6 +7,7 @@
 use admit::{AcceptPolicy, AcceptSettings, MemoryBudget, MemorySettings, ThreadLateness};
 use base::{Millis, MonoClock, Name, Origin};
 use cadence::StatsdClient;
+use inbound::OpenCounter;
 use share::ReportUrgency;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
@@ -35,6 +36,7 @@
     lateness: Mutex<ThreadLateness>,
     /// Connections of callers that are accepted and not closed.
     open_connections: AtomicUsize,
+    pub(crate) open_counter: OpenCounter,
     next_request: AtomicU64,
     /// Bytes of control messages sent and received.
     pub(crate) control_bytes: AtomicU64,
@@ -60,6 +62,7 @@
             accept_policy: Mutex::new(AcceptPolicy::new(accept_settings)),
             lateness: Mutex::default(),
             open_connections: AtomicUsize::new(0),
+            open_counter: OpenCounter::default(),
             settings,
             clock: MonoClock::start(),
             origin,
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -2,8 +2,10 @@
 
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use admit::{StopCycle, StopPlan, StopSettings, StopStep};
+use base::Millis;
 use bpaf::{Parser, construct, long};
 use ntex::SharedCfg;
 use ntex::http::HttpServiceConfig;
@@ -24,11 +26,11 @@
 use crate::signals::StopSignals;
 use crate::watch::run_document_watch;
 
-/// Interval at which a drain checks for open requests, in milliseconds.
-const DRAIN_POLL_MS: u64 = 50;
+/// Interval at which a drain checks for what is open.
+const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(50);
 /// Minimum duration of a drain, in milliseconds. The router answers requests
 /// with refusals meanwhile, so that peers and callers learn of the drain.
-const DRAIN_NOTICE_MS: u64 = 1_000;
+const DRAIN_NOTICE_MS: Millis = 1_000;
 /// Time within which a caller must send the headers of a request, in seconds.
 const HEADER_TIMEOUT: Seconds = Seconds(5);
 
@@ -93,16 +95,25 @@
     signals.first().await;
     tokio::select! {
         () = drain(&context) => {}
-        () = signals.second() => log_unfinished_requests(&context, "second signal"),
+        () = signals.second() => log_unfinished_requests(&context, "second signal", None),
     }
     context.stop.cancel();
     peer_server.stop(false).await;
     Ok(())
 }
 
-/// Refuses new requests and waits for the open ones, until `drain_ms` is over.
+/// Refuses new requests and waits until nothing is open, until `drain_ms` is over.
 async fn drain(context: &Arc<RouterContext>) {
-    let start = Instant::now();
+    let started_at = context.now();
+    let plan = StopPlan::new(
+        started_at,
+        &StopSettings {
+            notice_ms: DRAIN_NOTICE_MS,
+            kill_ms: context.settings.drain_ms,
+            exit_margin_ms: 0,
+            answer_margin_ms: 0,
+        },
+    );
     {
         let mut core = context.core();
         core.draining = true;
@@ -111,26 +122,29 @@
         tracing::info!(unit = "run", event = "drain", open);
     }
     context.heartbeat_due.notify_one();
-    let deadline = Duration::from_millis(context.settings.drain_ms);
-    let notice = Duration::from_millis(DRAIN_NOTICE_MS);
+    let mut cycle = StopCycle::new(plan);
+    let mut open;
     loop {
-        let open = context.core().open_requests;
-        if open == 0 && start.elapsed() >= notice {
-            let took_ms = start.elapsed().as_millis() as u64;
-            tracing::info!(unit = "run", event = "drained", took_ms);
-            return;
-        }
-        if start.elapsed() >= deadline {
-            return log_unfinished_requests(context, "deadline");
+        open = context.open_counter.count(DRAIN_POLL_PERIOD).await;
+        match cycle.step(context.now(), open) {
+            StopStep::Wait => tokio::time::sleep(DRAIN_POLL_PERIOD).await,
+            // All requests are refused since the drain began.
+            StopStep::Close => {}
+            StopStep::Exit => break,
         }
-        tokio::time::sleep(Duration::from_millis(DRAIN_POLL_MS)).await;
     }
+    if plan.exit_in_ms(context.now()) == 0 {
+        return log_unfinished_requests(context, "deadline", Some(open.connections));
+    }
+    let took_ms = context.now().saturating_sub(started_at);
+    tracing::info!(unit = "run", event = "drained", took_ms);
 }
 
-/// Logs how many requests are still open when a drain ends early.
-fn log_unfinished_requests(context: &RouterContext, cause: &str) {
+/// Logs how many requests are still open when a drain ends early, and how many connections are not
+/// finished, if they were counted.
+fn log_unfinished_requests(context: &RouterContext, cause: &str, connections: Option<usize>) {
     let cut = context.core().open_requests;
-    tracing::warn!(unit = "run", event = "drain_ended", cause, cut);
+    tracing::warn!(unit = "run", event = "drain_ended", cause, cut, connections);
 }
 
 pub(crate) fn http_config(settings: &RouterSettings) -> SharedCfg {
