gateway: a response to another request decides nothing of the current one

Cause: run_attempt read "not run", the load and the named rate of a response before it compared the id, so a second response with Poplarspring-Not-Executed counted as that of the current request. Ruled out: that leaving, rates, back-off and record_reached were decided so too: they were behind the check already. Change: exchange() is the only way to send a request to a target, and the only one that creates an OwnResponse, whose head, metadata, body and connection can't be had otherwise. It returns one of three: - Own: the id is that of the request; - Misdirected: the same with 421. Another target holds the address, so nothing but "not run" is taken from it; its load counted as that of the target before; - Foreign: the connection is closed, the request may have run, and its target is judged by nothing, its health included (that counted a failure before). Which responses may come without an id, by the pages (PROTOCOL.md, Replicas): "Replicas echo Poplarspring-Request-Id in their responses. An extra response may arrive late, at the point where the next response is expected. The ID identifies it." and "(503 when the replica is full or the deadline has passed while the request was in its queue, 429, 421, 400 without an id)". So only the response to a request without an id has none; the pages name no intermediary before a target. A response that names two different ids is foreign.

--- a/crates/gateway/src/answers.rs
+++ b/crates/gateway/src/answers.rs
@@ -5,7 +5,8 @@
 use target::{LeavingOrigin, LeavingTarget, TargetEntry};
 
 use crate::context::GatewayContext;
-use crate::platform::{ResponseMetadata, RetryDelay};
+use crate::exchange::OwnResponse;
+use crate::platform::RetryDelay;
 
 /// Records that a target says in a response that it leaves, and tells the peers.
 pub(crate) fn record_leaving(context: &GatewayContext, entry: &TargetEntry) {
@@ -37,19 +38,18 @@
     }
 }
 
-/// Records for how long a target wants no request, if a response with `status` says so, and
+/// Records for how long a target wants no request, if its response says so, and
 /// otherwise that it accepted the request that was sent at `sent_at`. Returns whether it turned
 /// the request away.
 pub(crate) fn record_backoff(
     context: &GatewayContext,
     entry: &TargetEntry,
-    status: StatusCode,
-    metadata: &ResponseMetadata,
+    response: &OwnResponse,
     sent_at: base::Millis,
 ) -> bool {
     let target = &entry.id;
-    let delay = metadata.retry_delay;
-    match delay {
+    let status = response.status();
+    match response.metadata().retry_delay {
         RetryDelay::Millis(named_ms) if status == StatusCode::SERVICE_UNAVAILABLE => {
             let wait_ms =
                 context.targets().backoffs().record_turned_away(entry, named_ms, context.now());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod crashes;
 mod domains;
 mod downtime;
+mod exchange;
 mod fetch;
 mod follow;
 mod headers;
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -43,11 +43,9 @@
     pub last_event_id: Option<u64>,
 }
 
-/// Metadata of a target's response, read from its status and headers.
+/// Metadata of a target's response to a request, read from its status and headers.
 #[derive(Clone, Debug, Default)]
 pub struct ResponseMetadata {
-    /// Id of the request that the response belongs to.
-    pub id: Option<Name>,
     /// The target states that it did not run the request.
     pub was_not_run: bool,
     /// The response was produced by a target, not by an intermediary.
@@ -105,13 +103,13 @@
     /// Sets the headers that the fleet sends to a target, replacing what the
     /// caller sent.
     fn write_call(&self, headers: &mut http::HeaderMap, metadata: &ForwardedMetadata<'_>);
-    /// Reads the metadata of a response from its status and headers.
+    /// Reads the metadata of a response from its status and headers, once its id was checked.
     fn read_response(
         &self,
         status: http::StatusCode,
         headers: &http::HeaderMap,
     ) -> ResponseMetadata;
-    /// Returns the header that repeats the request's id in refusals.
+    /// Returns the header that repeats the request's id in responses and refusals.
     fn id_header(&self) -> http::HeaderName;
     /// Returns the path of the readiness check.
     fn ready_path(&self) -> &str;
--- a/crates/gateway/src/reader.rs
+++ b/crates/gateway/src/reader.rs
@@ -50,7 +50,8 @@
 impl ResponseReader {
     /// Creates a reader of a response that is not a stream.
     pub(crate) fn of_plain(exchange: TargetExchange) -> Self {
-        let TargetExchange { response, connection, outstanding } = exchange;
+        let TargetExchange { response, outstanding } = exchange;
+        let (response, connection) = response.into_parts();
         let framing = BodyFraming::of(&response);
         let (head, body) = response.into_parts();
         Self { head, body, framing, is_event_stream: false, connection, outstanding }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,9 +9,7 @@
 
 use base::Name;
 use futures_util::Stream;
-use http::Response;
 use http::response::Parts;
-use hyper::body::Incoming;
 use inbound::BusyConnection;
 use ntex::http::body::{BodySize, MessageBody};
 use ntex::io::IoRef;
@@ -22,6 +20,7 @@
 use tokio::time::Instant;
 
 use crate::call::{AdmittedCall, HeldBody};
+use crate::exchange::OwnResponse;
 use crate::headers::is_event_stream;
 use crate::reader::{ReadFailure, ResponseReader, RunFailure};
 use crate::report::{CallEnd, CallReport};
@@ -433,7 +432,7 @@
 }
 
 /// Whether a response to a request that resumes a stream goes on with its events.
-fn is_resumed_stream(response: &Response<Incoming>) -> bool {
+fn is_resumed_stream(response: &OwnResponse) -> bool {
     response.status().is_success() && is_event_stream(response.headers())
 }
 
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -7,9 +7,7 @@
 
 use base::{Millis, Name};
 use cadence::prelude::*;
-use http::Response;
-use hyper::body::Incoming;
-use outbound::{Connection, ExchangeError};
+use outbound::ExchangeError;
 use route::CallKind;
 use target::{OutstandingKey, RequestOutcome, TargetEntry, TargetKey};
 
@@ -19,6 +17,7 @@
 use crate::context::GatewayContext;
 use crate::crashes::{crash_suspects, may_retry, record_complete, record_crash};
 use crate::downtime::{record_reached, record_refused};
+use crate::exchange::{OwnResponse, TargetResponse, exchange};
 use crate::headers::build_request;
 use crate::offers::{Placement, record_service_load};
 use crate::parts::PartList;
@@ -148,8 +147,7 @@
 /// An exchange with a target whose response head has been read.
 #[derive(Debug)]
 pub(crate) struct TargetExchange {
-    pub(crate) response: Response<Incoming>,
-    pub(crate) connection: Connection,
+    pub(crate) response: OwnResponse,
     pub(crate) outstanding: OutstandingRequest,
 }
 
@@ -360,9 +358,9 @@
     };
     let may_have_run_before = attempts.may_have_run;
     let started_at = context.now();
-    let (connection, response, sent_at) = loop {
+    let (response, sent_at) = loop {
         let connecting_at = context.now();
-        let mut connection = match worker.connection(&outstanding.entry, reuse).await {
+        let connection = match worker.connection(&outstanding.entry, reuse).await {
             Ok(connection) => connection,
             Err(cause) => {
                 if let Some(refusal) = own_lack_refusal(worker, &cause, started_at) {
@@ -400,13 +398,13 @@
         }
         permit.set_used(true);
         record_written(context, call.routed.id(), &outstanding.entry, permit.cold());
-        let result = connection.exchange(request).await;
+        let result = exchange(&*context.format, &call.routed.received, connection, request).await;
         if result.as_ref().is_err_and(ExchangeError::is_unsent) {
             permit.set_used(false);
             record_unwritten(context, call.routed.id(), &outstanding.entry, permit.cold());
         }
         match result {
-            Ok(response) => break (connection, response, sent_at),
+            Ok(response) => break (response, sent_at),
             Err(cause @ ExchangeError::Exhausted { .. }) => {
                 if cause.is_unsent() {
                     attempts.may_have_run = may_have_run_before;
@@ -436,7 +434,19 @@
         }
     };
     attempts.sent += 1;
-    let metadata = context.format.read_response(response.status(), response.headers());
+    let response = match response {
+        TargetResponse::Own(response) => *response,
+        TargetResponse::Misdirected => {
+            attempts.may_have_run = may_have_run_before;
+            outstanding.finish(RequestOutcome::Unreachable);
+            return AttemptEnd::NotRun(http::StatusCode::MISDIRECTED_REQUEST.as_u16());
+        }
+        TargetResponse::Foreign(response) => {
+            context.metrics.incr("foreign_responses").ok();
+            return AttemptEnd::ResponseLost(response.to_string());
+        }
+    };
+    let metadata = response.metadata();
     if let Some(load) = metadata.load {
         context.loads().record_report(selection.key, load, context.now());
         context.fullness().record(&call.routed.service, load, context.now());
@@ -446,32 +456,19 @@
         }
     }
     attempts.named_limit = metadata.rate_limit;
-    let is_own_response = metadata.id.as_deref() == call.routed.received.metadata.id.as_deref();
-    if is_own_response && response.status() != http::StatusCode::MISDIRECTED_REQUEST {
-        record_reached(context, &outstanding.entry, sent_at);
-        record_limit(context, &outstanding.entry, metadata.rate_limit, sent_at);
-        if metadata.is_leaving {
-            record_leaving(context, &outstanding.entry);
-        }
-        outstanding.is_turned_away =
-            record_backoff(context, &outstanding.entry, response.status(), &metadata, sent_at);
+    record_reached(context, &outstanding.entry, sent_at);
+    record_limit(context, &outstanding.entry, metadata.rate_limit, sent_at);
+    if metadata.is_leaving {
+        record_leaving(context, &outstanding.entry);
     }
-    let status = response.status();
+    outstanding.is_turned_away = record_backoff(context, &outstanding.entry, &response, sent_at);
     if metadata.was_not_run {
         attempts.may_have_run = may_have_run_before;
-        if status == http::StatusCode::MISDIRECTED_REQUEST {
-            // The address now belongs to another target.
-            outstanding.finish(RequestOutcome::Unreachable);
-        }
-        return AttemptEnd::NotRun(status.as_u16());
-    }
-    if !is_own_response {
-        outstanding.finish(RequestOutcome::Failed);
-        return AttemptEnd::ResponseLost(format!("answer is for request {:?}", metadata.id));
+        return AttemptEnd::NotRun(response.status().as_u16());
     }
-    if status.is_success() && !metadata.is_signed {
+    if response.status().is_success() && !metadata.is_signed {
         outstanding.finish(RequestOutcome::Failed);
         return AttemptEnd::ResponseLost("answer is not signed".into());
     }
-    AttemptEnd::Response(Box::new(TargetExchange { response, connection, outstanding }))
+    AttemptEnd::Response(Box::new(TargetExchange { response, outstanding }))
 }
