outbound: a connection on which anything arrived while it was idle is not reused

Cause: the pool asked the HTTP library whether a connection is ready. That learns of bytes and of the end of a connection from the runtime, which hears of them between two turns of its thread. A thread that is busy handed a connection out on which its target had already sent a second response, or its end, and the library wrote the request before it read them: its check of an idle connection goes by the same readiness. Ruled out: bytes that come with the end of a response: the library has them and closes the connection before it takes a request. Change: Connection::is_idle also peeks at the socket. The connection alone keeps the socket open; the pool has a weak reference. Fetches from the store and from peers use the same check. What arrives after it is told by the id of the response (exchange()); the two messages may cross on the way, so no check on this side can be later than all of them.

--- a/crates/outbound/src/connection.rs
+++ b/crates/outbound/src/connection.rs
@@ -17,6 +17,7 @@
 use tokio::sync::Notify;
 
 use crate::exhaustion::{is_caused_by_exhaustion, is_local_exhaustion};
+use crate::socket::{ConnectionSocket, SocketWatch};
 
 /// How long sent bytes may stay unacknowledged before the connection is closed.
 /// Well below the time that callers wait for a first byte, and well above the
@@ -73,6 +74,7 @@
 pub struct Connection {
     pub peer: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
+    socket: SocketWatch,
 }
 
 /// Opens a connection to `peer`. Must be called within a `LocalSet`, which then
@@ -121,6 +123,7 @@
     if let Err(cause) = set_options(&stream, receive_buffer) {
         tracing::debug!(unit = "outbound", event = "socket_option_refused", %peer, %cause);
     }
+    let (stream, socket) = ConnectionSocket::new(stream);
     let mut builder = http1::Builder::new();
     builder.max_buf_size(MAX_RESPONSE_HEAD_BYTES).preserve_header_case(false);
     let handshake = builder.handshake(TokioIo::new(stream)).await;
@@ -132,7 +135,7 @@
             tracing::trace!(unit = "outbound", event = "connection_ended", %peer, %cause);
         }
     });
-    Ok(Connection { peer, sender })
+    Ok(Connection { peer, sender, socket })
 }
 
 fn set_options(stream: &TcpStream, receive_buffer: Option<usize>) -> std::io::Result<()> {
@@ -189,9 +192,10 @@
         })
     }
 
-    /// Whether the connection can take another request now.
+    /// Whether the connection can take another request now: nothing has arrived since its last
+    /// response, and its peer has not closed it.
     pub fn is_idle(&self) -> bool {
-        self.sender.is_ready()
+        self.sender.is_ready() && self.socket.is_silent()
     }
 }
 
--- a/crates/outbound/src/lib.rs
+++ b/crates/outbound/src/lib.rs
@@ -11,6 +11,7 @@
 mod framing;
 mod pool;
 mod probe;
+mod socket;
 
 pub use connection::{Connection, ExchangeError, connect, connect_buffered};
 pub use exhaustion::is_local_exhaustion;
--- /dev/null
+++ b/crates/outbound/src/socket.rs
@@ -0,0 +1,82 @@
+//! The socket of a connection, which can be looked at while the connection is idle.
+
+use std::cell::RefCell;
+use std::io::{self, ErrorKind, IoSlice};
+use std::mem::MaybeUninit;
+use std::pin::Pin;
+use std::rc::{Rc, Weak};
+use std::task::{Context, Poll};
+
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// The socket of a connection. It is closed when the connection drops it.
+#[derive(Debug)]
+pub(crate) struct ConnectionSocket(Rc<RefCell<TcpStream>>);
+
+/// Looks at the socket of a connection without reading from it or keeping it open.
+#[derive(Debug)]
+pub(crate) struct SocketWatch(Weak<RefCell<TcpStream>>);
+
+impl ConnectionSocket {
+    pub(crate) fn new(stream: TcpStream) -> (Self, SocketWatch) {
+        let stream = Rc::new(RefCell::new(stream));
+        let watch = SocketWatch(Rc::downgrade(&stream));
+        (Self(stream), watch)
+    }
+
+    fn with_stream<T>(&self, poll: impl FnOnce(Pin<&mut TcpStream>) -> T) -> T {
+        poll(Pin::new(&mut *self.0.borrow_mut()))
+    }
+}
+
+impl SocketWatch {
+    /// Whether the socket is open and has nothing to read. Asks the system: the runtime learns of
+    /// what arrives only between two turns of the thread.
+    pub(crate) fn is_silent(&self) -> bool {
+        let Some(stream) = self.0.upgrade() else { return false };
+        let peeked = SockRef::from(&*stream.borrow()).peek(&mut [MaybeUninit::uninit()]);
+        peeked.is_err_and(|cause| cause.kind() == ErrorKind::WouldBlock)
+    }
+}
+
+impl AsyncRead for ConnectionSocket {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        self.with_stream(|stream| stream.poll_read(cx, buffer))
+    }
+}
+
+impl AsyncWrite for ConnectionSocket {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.with_stream(|stream| stream.poll_write(cx, bytes))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.with_stream(|stream| stream.poll_write_vectored(cx, slices))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.borrow().is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.with_stream(|stream| stream.poll_flush(cx))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.with_stream(|stream| stream.poll_shutdown(cx))
+    }
+}
