gateway: streams that may not be resumed get a connection of their own

Cause: kept connections were closed to non_idempotent routes only. A kept connection carries only a request that may run twice, so that one whose response is lost can be sent again, and that has an id, as nothing else tells a late response from its own. Ruled out: reuse after a check of the socket alone. A second response that is sent while the request is on its way can't be seen before the write. Cost: a new connection for each such stream, and its round trip. Evidence: forwarding::streams_that_run_once_and_requests_without_an_id_get_new_connections, before: "2 connections for 6 requests that need new ones". After it: forwarding, answers, versions, continuation and truncation of the fleet tests, 62 passed.

--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -8,7 +8,6 @@
 use base::{Millis, Name};
 use cadence::prelude::*;
 use outbound::ExchangeError;
-use route::CallKind;
 use target::{OutstandingKey, RequestOutcome, TargetEntry, TargetKey};
 
 use crate::answers::{record_backoff, record_leaving};
@@ -352,10 +351,7 @@
         placement,
         is_turned_away: false,
     };
-    let mut reuse = match call.routed.route.kind {
-        CallKind::NonIdempotent => ConnectionReuse::Never,
-        CallKind::Idempotent | CallKind::Stream { .. } => ConnectionReuse::Allowed,
-    };
+    let mut reuse = ConnectionReuse::of(&call.routed);
     let may_have_run_before = attempts.may_have_run;
     let started_at = context.now();
     let (response, sent_at) = loop {
--- a/crates/gateway/src/worker.rs
+++ b/crates/gateway/src/worker.rs
@@ -17,6 +17,7 @@
 use target::TargetEntry;
 use tokio::sync::mpsc;
 
+use crate::call::RoutedCall;
 use crate::context::GatewayContext;
 use crate::open::CountReply;
 
@@ -42,11 +43,20 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum ConnectionReuse {
     Allowed,
-    /// The target may close an idle connection while the request is in transit,
-    /// which leaves unknown whether the request ran.
+    /// The target may close an idle connection, or send a second response to an earlier request,
+    /// while the request is in transit, which leaves unknown whether the request ran.
     Never,
 }
 
+impl ConnectionReuse {
+    /// A request that may not run twice has to be lost if its response is, so it gets a connection
+    /// of its own, and so does one without an id, whose response can't be told from another.
+    pub(crate) fn of(call: &RoutedCall) -> Self {
+        let has_id = call.received.metadata.id.is_some();
+        if has_id && call.route.kind.is_retryable() { Self::Allowed } else { Self::Never }
+    }
+}
+
 impl Worker {
     pub(crate) fn new(context: Arc<GatewayContext>) -> Rc<Self> {
         let pool = RefCell::new(ConnectionPool::new(PoolSettings::default()));
