--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -18,7 +18,7 @@
 
 /// Time to find out whether a target still listens: a round trip between failure domains, with
 /// one lost packet.
-pub(crate) const PROBE_TIMEOUT: Duration = Duration::from_millis(600);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(600);
 /// Number of targets of a service that must be serving for a trial, which may cost one.
 const MIN_TRIAL_TARGETS: usize = 2;
 
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -252,7 +252,7 @@
     reader: ResponseReader,
     events: Option<OrderedEvents>,
 ) -> Result<ReadyResponse, ReadFailure> {
-    let read = reader.read_to_end(worker, &call.body, MAX_BUFFERED_BYTES, events);
+    let read = reader.read_to_end(worker, call, MAX_BUFFERED_BYTES, events);
     let (head, bytes) = read.await?;
     Ok(ReadyResponse::Whole(Box::new(head), bytes))
 }
--- a/crates/gateway/src/reader.rs
+++ b/crates/gateway/src/reader.rs
@@ -4,13 +4,12 @@
 use http::response::Parts;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Bytes, Incoming};
-use outbound::{BodyFraming, Connection, ListenerState, probe_listener};
+use outbound::{AnswerContent, BodyFraming, Connection, EndEvidence, UnprovedEnd};
 use sse::{OrderError, OrderedEvents, RunEnd};
 use target::RequestOutcome;
 use thiserror::Error;
 
-use crate::call::HeldBody;
-use crate::crashes::PROBE_TIMEOUT;
+use crate::call::AdmittedCall;
 use crate::headers::{is_event_stream, keep_alive_timeout};
 use crate::report::CallReport;
 use crate::send::{OutstandingRequest, TargetExchange};
@@ -35,6 +34,9 @@
     Lost(String),
     #[error("{0}")]
     Order(#[from] OrderError),
+    /// The response ended in order, and nothing proves that it is whole.
+    #[error("{0}")]
+    Unproved(#[from] UnprovedEnd),
 }
 
 /// Reads the body of a target's response.
@@ -42,6 +44,7 @@
     head: Parts,
     body: Incoming,
     framing: BodyFraming,
+    content: AnswerContent,
     is_event_stream: bool,
     connection: Connection,
     outstanding: OutstandingRequest,
@@ -53,7 +56,8 @@
         let TargetExchange { response, connection, outstanding } = exchange;
         let framing = BodyFraming::of(&response);
         let (head, body) = response.into_parts();
-        Self { head, body, framing, is_event_stream: false, connection, outstanding }
+        let (content, is_event_stream) = (AnswerContent::Opaque, false);
+        Self { head, body, framing, content, is_event_stream, connection, outstanding }
     }
 
     /// Creates a reader of a response on a route for streams. Unless its content type
@@ -61,7 +65,7 @@
     pub(crate) fn of_stream(exchange: TargetExchange) -> Self {
         let reader = Self::of_plain(exchange);
         let is_event_stream = is_event_stream(&reader.head.headers);
-        Self { is_event_stream, ..reader }
+        Self { content: AnswerContent::Stream, is_event_stream, ..reader }
     }
 
     pub(crate) fn head(&self) -> &Parts {
@@ -83,7 +87,7 @@
     }
 
     /// Returns what marks the end of the response.
-    pub(crate) fn run_end(&self) -> RunEnd {
+    fn run_end(&self) -> RunEnd {
         match self.framing {
             BodyFraming::Length | BodyFraming::Chunked => RunEnd::Marked,
             BodyFraming::Connection => RunEnd::Unmarked,
@@ -112,12 +116,12 @@
     /// a stream.
     ///
     /// # Errors
-    /// Returns a message if the response breaks off or is too large, or if nothing proves that a
-    /// stream is whole.
+    /// Returns a message if the response breaks off or is too large, or if nothing proves that it
+    /// is whole.
     pub(crate) async fn read_to_end(
         mut self,
         worker: &Worker,
-        held: &HeldBody,
+        call: &AdmittedCall,
         max_bytes: usize,
         mut events: Option<OrderedEvents>,
     ) -> Result<(Parts, Bytes), ReadFailure> {
@@ -135,7 +139,7 @@
                 let cause = format!("answer has over {max_bytes} bytes");
                 return Err(ReadFailure::Lost(cause));
             }
-            if held.hold_response(bytes.len()).is_err() {
+            if call.body.hold_response(bytes.len()).is_err() {
                 return Err(ReadFailure::NoMemory);
             }
             let Some(events) = &mut events else {
@@ -148,13 +152,11 @@
                 return Err(self.lose(cause.into()));
             }
         }
+        if let Err(failure) = self.check_end(worker, call.routed.id(), events.as_mut()).await {
+            return Err(self.lose(failure));
+        }
         if let Some(events) = &mut events {
-            if let Err(cause) = events.end_run(self.run_end()) {
-                return Err(self.lose(cause.into()));
-            }
             body.extend_from_slice(&events.take_rest());
-        } else if let Err(failure) = self.check_plain_end(worker).await {
-            return Err(self.lose(failure));
         }
         if self.head.status.is_server_error() {
             return Ok((self.fail(), body.into()));
@@ -162,22 +164,46 @@
         Ok((self.complete(worker), body.into()))
     }
 
-    /// Checks that a response that is no stream of events may end where it did. A target that is
-    /// killed in the middle of it closes the connection in order, and no longer listens.
+    /// Checks that the response, which has ended in order, is whole: a stream by its events, any
+    /// other response by [`EndEvidence`].
     ///
     /// # Errors
-    /// Returns an error if the end is not marked and the target is gone, unless it is known to
-    /// leave.
-    pub(crate) async fn check_plain_end(&self, worker: &Worker) -> Result<(), RunFailure> {
-        let entry = &self.outstanding.entry;
-        if self.run_end() == RunEnd::Marked
-            || probe_listener(entry.address, PROBE_TIMEOUT).await != ListenerState::Refused
-            || !worker.context.targets().is_present(entry, worker.context.now())
-        {
-            return Ok(());
+    /// Returns an error if nothing proves it.
+    pub(crate) async fn check_end(
+        &self,
+        worker: &Worker,
+        request: &str,
+        events: Option<&mut OrderedEvents>,
+    ) -> Result<(), RunFailure> {
+        if let Some(events) = events {
+            return self.check_events(events);
         }
-        let cause = "response has no length, and its target no longer listens";
-        Err(RunFailure::Lost(cause.into()))
+        let entry = &self.outstanding.entry;
+        let is_leaving = !worker.context.targets().is_present(entry, worker.context.now());
+        let evidence =
+            EndEvidence::collect(self.framing, self.content, entry.address, is_leaving).await;
+        let Err(cause) = evidence.check() else { return Ok(()) };
+        tracing::info!(
+            unit = "relay",
+            event = "end_unproved",
+            request,
+            target = &*entry.id,
+            address = %entry.address,
+            framing = ?evidence.framing,
+            content = ?evidence.content,
+            listener = evidence.listener.map(tracing::field::debug),
+            is_leaving,
+        );
+        Err(cause.into())
+    }
+
+    /// Checks that the stream may end with the events of this response. An end that is not marked
+    /// never proves that.
+    ///
+    /// # Errors
+    /// Returns an error if nothing proves it.
+    pub(crate) fn check_events(&self, events: &mut OrderedEvents) -> Result<(), RunFailure> {
+        Ok(events.end_run(self.run_end())?)
     }
 
     fn lose(self, failure: RunFailure) -> ReadFailure {
@@ -206,12 +232,14 @@
             self.outstanding.count(name);
         }
         match failure {
-            RunFailure::Lost(_) | RunFailure::Order(OrderError::InEvent | OrderError::NoEvent) => {
+            RunFailure::Lost(_)
+            | RunFailure::Order(OrderError::InEvent | OrderError::NoEvent)
+            | RunFailure::Unproved(UnprovedEnd::Ended | UnprovedEnd::Left) => {
                 self.outstanding.break_off();
             }
             RunFailure::Order(OrderError::Backward { .. }) => drop(self.fail()),
             // The target may be sound: it ended in order, or serves new streams well.
-            RunFailure::Order(_) => self.outstanding.end_in_order(),
+            RunFailure::Order(_) | RunFailure::Unproved(_) => self.outstanding.end_in_order(),
         }
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -171,9 +171,9 @@
             }
             let Some(bytes) = bytes else {
                 if let Some(events) = &mut events
-                    && let Err(cause) = events.end_run(reader.run_end())
+                    && let Err(failure) = reader.check_events(events)
                 {
-                    break cause.into();
+                    break failure;
                 }
                 return Ok(OpenStream::new(reader, events.cloned(), Vec::new()));
             };
@@ -322,17 +322,12 @@
     /// Ends the response with the current run; returns the rest of its bytes.
     async fn end(&mut self) -> Result<Vec<u8>, RunFailure> {
         let Some(reader) = &self.reader else { return Ok(Vec::new()) };
-        let rest = match &mut self.events {
-            Some(events) => {
-                events.end_run(reader.run_end())?;
-                reader.record(&mut self.report, false);
-                events.take_rest()
-            }
-            None => {
-                reader.check_plain_end(&self.worker).await?;
-                Vec::new()
-            }
-        };
+        let request = self.call.routed.id();
+        reader.check_end(&self.worker, request, self.events.as_mut()).await?;
+        let rest = self.events.as_mut().map_or_else(Vec::new, |events| {
+            reader.record(&mut self.report, false);
+            events.take_rest()
+        });
         if let Some(reader) = self.reader.take() {
             reader.complete(&self.worker);
         }
--- /dev/null
+++ b/crates/outbound/src/ending.rs
@@ -0,0 +1,119 @@
+//! Decides whether an answer that has ended in order is whole.
+//!
+//! Nothing else takes the end of a connection for the end of an answer. Messages that prove their
+//! own end need no decision: documents that would not decode, and streams whose last event names
+//! itself as such.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use thiserror::Error;
+use tokio::time::Instant;
+
+use crate::framing::BodyFraming;
+use crate::probe::{ListenerState, probe_listener};
+
+/// Times for the attempts to connect to a target whose answer has ended. The first one covers a
+/// round trip between failure domains, the others a packet that is lost and a thread that is late.
+const PROBE_TIMEOUTS: [Duration; 3] =
+    [Duration::from_millis(200), Duration::from_millis(600), Duration::from_millis(600)];
+
+/// What an answer is to consist of.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AnswerContent {
+    /// Bytes that are passed on once all of them are there, or of which nothing is known.
+    Opaque,
+    /// Events, as the route is one for streams, whatever content type the target names. Runs fail
+    /// one by one, so that a target that serves on says nothing about one of them.
+    Stream,
+}
+
+/// What is known of an answer whose body has ended in order. A body that ended otherwise, by a
+/// reset or before its length or last chunk, was broken off.
+///
+/// | framing | content | listener | the answer |
+/// | --- | --- | --- | --- |
+/// | length, chunks | any | not probed | whole: its target marked the end |
+/// | connection | stream | not probed | not proved |
+/// | connection | opaque | listening | whole: the process that closed the connection runs on |
+/// | connection | opaque | refused | not proved: the process has ended, and the connections of a killed process end in order, too |
+/// | connection | opaque | unknown | not proved |
+///
+/// A target that leaves ends in order at some time, perhaps right after its last answer, and the
+/// connections that it refuses don't tell this from a crash. So its answer is not proved either: a
+/// whole answer that counts as lost is repeated where that is allowed, and half of one that
+/// is passed on can't be taken back. A stream of events has to end outside of an event besides,
+/// in its order, whatever marks its end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EndEvidence {
+    /// What marked the end of the body.
+    pub framing: BodyFraming,
+    pub content: AnswerContent,
+    /// Whether a process listened at the target's address after the end; `None` if no attempt to
+    /// connect was made, as the rest decides.
+    pub listener: Option<ListenerState>,
+    /// Whether the target is known to leave, so that it is expected to stop listening.
+    pub is_leaving: bool,
+}
+
+impl EndEvidence {
+    /// Collects the evidence on an answer of `peer` that has just ended. Tries to connect to
+    /// `peer` only where that decides, for up to 1,400 ms.
+    pub async fn collect(
+        framing: BodyFraming,
+        content: AnswerContent,
+        peer: SocketAddr,
+        is_leaving: bool,
+    ) -> Self {
+        let evidence = Self { framing, content, listener: None, is_leaving };
+        if evidence.check() != Err(UnprovedEnd::Unknown) {
+            return evidence;
+        }
+        Self { listener: Some(probe_after_end(peer).await), ..evidence }
+    }
+
+    /// Checks that the answer is whole.
+    ///
+    /// # Errors
+    /// Returns an error if nothing proves it.
+    pub fn check(&self) -> Result<(), UnprovedEnd> {
+        match (self.framing, self.content, self.listener) {
+            (BodyFraming::Length | BodyFraming::Chunked, _, _) => Ok(()),
+            (BodyFraming::Connection, AnswerContent::Stream, _) => Err(UnprovedEnd::Stream),
+            (_, AnswerContent::Opaque, Some(ListenerState::Listening)) => Ok(()),
+            (_, AnswerContent::Opaque, Some(ListenerState::Refused)) if self.is_leaving => {
+                Err(UnprovedEnd::Left)
+            }
+            (_, AnswerContent::Opaque, Some(ListenerState::Refused)) => Err(UnprovedEnd::Ended),
+            (_, AnswerContent::Opaque, Some(ListenerState::Unknown) | None) => {
+                Err(UnprovedEnd::Unknown)
+            }
+        }
+    }
+}
+
+/// Why an answer that has ended in order counts as lost.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum UnprovedEnd {
+    #[error("response on a route for streams has neither a length nor a last chunk")]
+    Stream,
+    #[error("response has no length, and its target no longer listens")]
+    Ended,
+    #[error("response has no length, and its target, which leaves, no longer listens")]
+    Left,
+    #[error("response has no length, and its target is not known to be running")]
+    Unknown,
+}
+
+/// Returns whether a process listens at `peer`, `Unknown` if no attempt shows it.
+async fn probe_after_end(peer: SocketAddr) -> ListenerState {
+    for timeout in PROBE_TIMEOUTS {
+        let deadline = Instant::now() + timeout;
+        match probe_listener(peer, timeout).await {
+            // For a lack of this machine's own an attempt fails at once.
+            ListenerState::Unknown => tokio::time::sleep_until(deadline).await,
+            state => return state,
+        }
+    }
+    ListenerState::Unknown
+}
--- a/crates/outbound/src/lib.rs
+++ b/crates/outbound/src/lib.rs
@@ -6,6 +6,7 @@
 //! were, and a lack of this machine's own resources from a fault of the peer.
 
 mod connection;
+mod ending;
 mod exhaustion;
 mod fetch;
 mod framing;
@@ -13,6 +14,7 @@
 mod probe;
 
 pub use connection::{Connection, ExchangeError, connect, connect_buffered};
+pub use ending::{AnswerContent, EndEvidence, UnprovedEnd};
 pub use exhaustion::is_local_exhaustion;
 pub use fetch::{FetchClient, FetchError, FetchTimeouts, PART_BYTES};
 pub use framing::BodyFraming;
--- /dev/null
+++ b/crates/outbound/tests/ending.rs
@@ -0,0 +1,54 @@
+//! Tests of what proves that an answer is whole.
+
+use std::time::Duration;
+
+use outbound::{AnswerContent, BodyFraming, EndEvidence, ListenerState, UnprovedEnd};
+use tokio::net::TcpListener;
+
+/// Guards against half an answer that is passed on as whole: the table of evidence, row by row,
+/// each for targets that serve and that leave.
+#[test]
+fn only_a_mark_or_a_target_that_listens_proves_the_end() {
+    use AnswerContent::{Opaque, Stream};
+    use BodyFraming::{Chunked, Connection, Length};
+    use ListenerState::{Listening, Refused, Unknown};
+    let listeners = [None, Some(Listening), Some(Refused), Some(Unknown)];
+    for (is_leaving, ended) in [(false, UnprovedEnd::Ended), (true, UnprovedEnd::Left)] {
+        let check = |framing, content, listener| {
+            EndEvidence { framing, content, listener, is_leaving }.check()
+        };
+        for listener in listeners {
+            for marked in [Length, Chunked] {
+                assert_eq!(check(marked, Opaque, listener), Ok(()), "{listener:?}");
+                assert_eq!(check(marked, Stream, listener), Ok(()), "{listener:?}");
+            }
+            let unproved = Err(UnprovedEnd::Stream);
+            assert_eq!(check(Connection, Stream, listener), unproved, "{listener:?}");
+        }
+        assert_eq!(check(Connection, Opaque, Some(Listening)), Ok(()));
+        assert_eq!(check(Connection, Opaque, Some(Refused)), Err(ended));
+        assert_eq!(check(Connection, Opaque, Some(Unknown)), Err(UnprovedEnd::Unknown));
+        assert_eq!(check(Connection, Opaque, None), Err(UnprovedEnd::Unknown));
+    }
+}
+
+/// Guards against probes of targets whose answers need none, which cost a connection each.
+#[tokio::test]
+async fn only_an_end_that_a_probe_decides_is_probed() {
+    use BodyFraming::{Connection, Length};
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let peer = listener.local_addr().unwrap();
+    for (framing, content, expected) in [
+        (Length, AnswerContent::Opaque, None),
+        (Connection, AnswerContent::Stream, None),
+        (Connection, AnswerContent::Opaque, Some(ListenerState::Listening)),
+    ] {
+        let evidence = EndEvidence::collect(framing, content, peer, false).await;
+        assert_eq!(evidence.listener, expected, "{framing:?} {content:?}");
+    }
+    let accepted = tokio::time::timeout(Duration::from_millis(50), async {
+        listener.accept().await.unwrap();
+        listener.accept().await.unwrap();
+    });
+    assert!(accepted.await.is_err(), "more than one connection");
+}
--- a/crates/target/src/registry.rs
+++ b/crates/target/src/registry.rs
@@ -332,24 +332,24 @@
     /// Whether a target that was selected before may still get a request: its entry, or its
     /// failure domain, may have changed while the request waited for a connection.
     pub fn may_serve(&self, selected: &TargetEntry, now: Millis) -> bool {
-        let is_evacuated = |entry: &TargetEntry| self.is_evacuated(entry, now);
-        self.published_now(selected, now).is_some_and(|entry| !is_evacuated(entry))
+        self.published_now(selected, now).is_some_and(|entry| {
+            !self.is_evacuated(entry, now) && self.backoffs.wait_ms(entry, now).is_none()
+        })
     }
 
-    /// Whether a target that was selected before still takes requests by what is published and
-    /// said, also if its failure domain is evacuated.
+    /// Whether a target that was selected before is published and not known to leave, also if its
+    /// failure domain is evacuated or if it is left alone for a time.
     pub fn is_present(&self, selected: &TargetEntry, now: Millis) -> bool {
         self.published_now(selected, now).is_some()
     }
 
-    /// Returns the present entry of a target that was selected before, if it takes requests.
+    /// Returns the present entry of a target that was selected before, unless it leaves.
     fn published_now(&self, selected: &TargetEntry, now: Millis) -> Option<&TargetEntry> {
         let record = self.records.get(&selected.id).filter(|record| self.is_usable(record, now))?;
         record.entry.as_deref().filter(|entry| {
             entry.incarnation == selected.incarnation
                 && entry.address == selected.address
                 && entry.service == selected.service
-                && self.backoffs.wait_ms(entry, now).is_none()
         })
     }
 
--- a/crates/target/tests/evacuation.rs
+++ b/crates/target/tests/evacuation.rs
@@ -53,6 +53,17 @@
     assert_eq!(registry.backoff_ms(SERVICE, 0), None);
 }
 
+/// Guards against a target that counts as one that leaves, as it has turned a request away for a
+/// time.
+#[test]
+fn target_that_is_left_alone_is_present() {
+    let mut registry = start();
+    let selected = entry("t", 1, TargetState::Serving);
+    registry.backoffs().record_turned_away(&selected, 4_000, 0);
+    assert!(registry.is_present(&selected, 1));
+    assert!(!registry.may_serve(&selected, 1));
+}
+
 /// Guards against an evacuation that ends while the operator can't write it again, as the
 /// restored source is lost once more.
 #[test]
