--- a/crates/outbound/src/framing.rs
+++ b/crates/outbound/src/framing.rs
@@ -4,8 +4,6 @@
 use http::{HeaderMap, Response};
 use hyper::body::{Body, Incoming};
 
-use crate::probe::ListenerState;
-
 /// How the end of a response body is marked (RFC 9112, section 6.3).
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum BodyFraming {
@@ -25,12 +23,6 @@
         }
         if is_chunked(response.headers()) { Self::Chunked } else { Self::Connection }
     }
-
-    /// Whether a body that ended in order may have been cut by the end of its peer, where an
-    /// attempt to connect to the peer has shown `listener` since.
-    pub fn may_be_cut(self, listener: ListenerState) -> bool {
-        self == Self::Connection && listener == ListenerState::Refused
-    }
 }
 
 fn is_chunked(headers: &HeaderMap) -> bool {
--- a/crates/router/src/plain.rs
+++ b/crates/router/src/plain.rs
@@ -7,7 +7,7 @@
 use base::Name;
 use hyper::body::Bytes;
 use ntex::http::Method;
-use outbound::{BodyFraming, ExchangeError, probe_listener};
+use outbound::{AnswerContent, BodyFraming, EndEvidence, ExchangeError};
 
 use crate::context::RouterContext;
 use crate::held::HeldBytes;
@@ -20,9 +20,6 @@
 pub(crate) const MAX_ATTEMPTS: u32 = 3;
 /// Timeout of a target's complete response to a plain call, in milliseconds.
 const RESPONSE_TIMEOUT_MS: u64 = 30_000;
-/// Time to find out whether a target still listens: a round trip between failure domains, with
-/// one lost packet.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(600);
 /// Maximum size of the response to a plain call, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
@@ -174,17 +171,20 @@
     (start.elapsed().as_secs_f64() * 1_000.0).max(1.0)
 }
 
-/// Whether a target whose response has ended in order may have died in the middle of it. A target
-/// that is leaving may stop to listen before its last responses end.
-async fn may_have_died(
+/// Checks that a response that has ended in order is whole.
+///
+/// # Errors
+/// Returns an error if nothing proves it.
+async fn check_end(
     context: &RouterContext,
     target: &Name,
     address: SocketAddr,
     framing: BodyFraming,
-) -> bool {
-    framing == BodyFraming::Connection
-        && framing.may_be_cut(probe_listener(address, PROBE_TIMEOUT).await)
-        && context.core().target_entry(target).is_some()
+) -> Result<(), SendError> {
+    let is_leaving = context.core().target_entry(target).is_none();
+    let content = AnswerContent::Opaque;
+    let evidence = EndEvidence::collect(framing, content, address, is_leaving).await;
+    evidence.check().map_err(|cause| SendError::MaybeSent(cause.to_string()))
 }
 
 /// Reads the body of a response, which counts against the memory of the process.
@@ -226,10 +226,7 @@
         };
         let mut response = send_to_target(address, request).await?;
         let body = read_body(&mut response, account, call).await?;
-        if may_have_died(context, target, address, response.framing()).await {
-            let cause = "connection ended, and the target no longer listens";
-            return Err(SendError::MaybeSent(cause.into()));
-        }
+        check_end(context, target, address, response.framing()).await?;
         Ok(PlainResponse {
             status: response.status().as_u16(),
             content_type: response.content_type().map(str::to_owned),
