fix: the end of an answer that shows that its target's process has ended makes the target cold (FAILBACK)

What callers saw: a target that crashed in the middle of an answer without a length, over 0.3 s after its begin, and starts again under its name counted as warm until its new entry was known. Cause: the check of the end saw the refused connection and told record_refused nothing; only the probe for the quarantine does, and it is not made that late in an answer. Change: check_end passes a refused connection on, with the time at which the attempt began. Evidence: cold_restart::target_that_is_killed_late_in_an_answer_is_cold, seen failing before: "timed out: a log line with ["event=\"refusing\" target=t-0" ...]".

--- a/crates/gateway/src/reader.rs
+++ b/crates/gateway/src/reader.rs
@@ -4,12 +4,13 @@
 use http::response::Parts;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Bytes, Incoming};
-use outbound::{AnswerContent, BodyFraming, Connection, EndEvidence, UnprovedEnd};
+use outbound::{AnswerContent, BodyFraming, Connection, EndEvidence, ListenerState, UnprovedEnd};
 use sse::{OrderError, OrderedEvents, RunEnd};
 use target::RequestOutcome;
 use thiserror::Error;
 
 use crate::call::AdmittedCall;
+use crate::downtime::record_refused;
 use crate::headers::{is_event_stream, keep_alive_timeout};
 use crate::report::CallReport;
 use crate::send::{OutstandingRequest, TargetExchange};
@@ -179,9 +180,13 @@
             return self.check_events(events);
         }
         let entry = &self.outstanding.entry;
-        let is_leaving = !worker.context.targets().is_present(entry, worker.context.now());
+        let probed_at = worker.context.now();
+        let is_leaving = !worker.context.targets().is_present(entry, probed_at);
         let evidence =
             EndEvidence::collect(self.framing, self.content, entry.address, is_leaving).await;
+        if evidence.listener == Some(ListenerState::Refused) {
+            record_refused(&worker.context, entry, probed_at);
+        }
         let Err(cause) = evidence.check() else { return Ok(()) };
         tracing::info!(
             unit = "relay",
