--- a/crates/outbound/src/ending.rs
+++ b/crates/outbound/src/ending.rs
@@ -13,6 +13,9 @@
 use crate::framing::BodyFraming;
 use crate::probe::{ListenerState, probe_listener};
 
+/// Time from the end of an answer to the first attempt to connect. The system may close the
+/// connections of a killed process a moment before the socket at which it listens.
+const SETTLE_TIME: Duration = Duration::from_millis(20);
 /// Times for the attempts to connect to a target whose answer has ended. The first one covers a
 /// round trip between failure domains, the others a packet that is lost and a thread that is late.
 const PROBE_TIMEOUTS: [Duration; 3] =
@@ -58,7 +61,7 @@
 
 impl EndEvidence {
     /// Collects the evidence on an answer of `peer` that has just ended. Tries to connect to
-    /// `peer` only where that decides, for up to 1,400 ms.
+    /// `peer` only where that decides, for up to 1,420 ms.
     pub async fn collect(
         framing: BodyFraming,
         content: AnswerContent,
@@ -107,6 +110,7 @@
 
 /// Returns whether a process listens at `peer`, `Unknown` if no attempt shows it.
 async fn probe_after_end(peer: SocketAddr) -> ListenerState {
+    tokio::time::sleep(SETTLE_TIME).await;
     for timeout in PROBE_TIMEOUTS {
         let deadline = Instant::now() + timeout;
         match probe_listener(peer, timeout).await {
--- a/crates/outbound/tests/ending.rs
+++ b/crates/outbound/tests/ending.rs
@@ -52,3 +52,18 @@
     });
     assert!(accepted.await.is_err(), "more than one connection");
 }
+
+/// Guards against half an answer of a killed target that counts as whole: the system closes its
+/// connections a moment before the socket at which it listens.
+#[tokio::test]
+async fn target_that_stops_listening_after_its_connections_end_is_gone() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let peer = listener.local_addr().unwrap();
+    let end = async {
+        tokio::time::sleep(Duration::from_millis(3)).await;
+        drop(listener);
+    };
+    let collect = EndEvidence::collect(BodyFraming::Connection, AnswerContent::Opaque, peer, false);
+    let (evidence, ()) = tokio::join!(collect, end);
+    assert_eq!(evidence.check(), Err(UnprovedEnd::Ended));
+}
