--- a/crates/gateway/src/reader.rs
+++ b/crates/gateway/src/reader.rs
@@ -4,7 +4,9 @@
 use http::response::Parts;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Bytes, Incoming};
-use outbound::{AnswerContent, BodyFraming, Connection, EndEvidence, ListenerState, UnprovedEnd};
+use outbound::{
+    AnswerContent, AnswerEnd, BodyFraming, Connection, EndEvidence, ListenerState, UnprovedEnd,
+};
 use sse::{OrderError, OrderedEvents, RunEnd};
 use target::RequestOutcome;
 use thiserror::Error;
@@ -182,8 +184,10 @@
         let entry = &self.outstanding.entry;
         let probed_at = worker.context.now();
         let is_leaving = !worker.context.targets().is_present(entry, probed_at);
-        let evidence =
-            EndEvidence::collect(self.framing, self.content, entry.address, is_leaving).await;
+        let &Self { framing, content, .. } = self;
+        let end = AnswerEnd { framing, content, peer: entry.address, is_leaving };
+        let late_ms = || worker.context.lateness().late_ms(worker.context.now());
+        let evidence = EndEvidence::collect(end, late_ms).await;
         if evidence.listener == Some(ListenerState::Refused) {
             record_refused(&worker.context, entry, probed_at);
         }
@@ -194,10 +198,11 @@
             request,
             target = &*entry.id,
             address = %entry.address,
-            framing = ?evidence.framing,
-            content = ?evidence.content,
+            ?framing,
+            ?content,
             listener = evidence.listener.map(tracing::field::debug),
             is_leaving,
+            late_ms = evidence.late_ms,
         );
         Err(cause.into())
     }
--- a/crates/outbound/src/ending.rs
+++ b/crates/outbound/src/ending.rs
@@ -16,6 +16,9 @@
 /// Time from the end of an answer to the first attempt to connect. The system may close the
 /// connections of a killed process a moment before the socket at which it listens.
 const SETTLE_TIME: Duration = Duration::from_millis(20);
+/// Lateness in milliseconds from which on a process that listens may be a later one than the one that
+/// answered: less than targets take to start again.
+const MAX_LATE_MS: u64 = 500;
 /// Times for the attempts to connect to a target whose answer has ended. The first one covers a
 /// round trip between failure domains, the others a packet that is lost and a thread that is late.
 const PROBE_TIMEOUTS: [Duration; 3] =
@@ -31,6 +34,18 @@
     Stream,
 }
 
+/// An answer whose body has ended in order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AnswerEnd {
+    /// What marked the end of the body.
+    pub framing: BodyFraming,
+    pub content: AnswerContent,
+    /// Address of the target.
+    pub peer: SocketAddr,
+    /// Whether the target is known to leave, so that it is expected to stop listening.
+    pub is_leaving: bool,
+}
+
 /// What is known of an answer whose body has ended in order. A body that ended otherwise, by a
 /// reset or before its length or last chunk, was broken off.
 ///
@@ -38,7 +53,7 @@
 /// | --- | --- | --- | --- |
 /// | length, chunks | any | not probed | whole: its target marked the end |
 /// | connection | stream | not probed | not proved |
-/// | connection | opaque | listening | whole: the process that closed the connection runs on |
+/// | connection | opaque | listening | whole: the process that closed the connection runs on, unless this process was so late that a target may have started again since |
 /// | connection | opaque | refused | not proved: the process has ended, and the connections of a killed process end in order, too |
 /// | connection | opaque | unknown | not proved |
 ///
@@ -49,30 +64,25 @@
 /// in its order, whatever marks its end.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct EndEvidence {
-    /// What marked the end of the body.
-    pub framing: BodyFraming,
-    pub content: AnswerContent,
+    pub end: AnswerEnd,
     /// Whether a process listened at the target's address after the end; `None` if no attempt to
     /// connect was made, as the rest decides.
     pub listener: Option<ListenerState>,
-    /// Whether the target is known to leave, so that it is expected to stop listening.
-    pub is_leaving: bool,
+    /// How late this process may have seen the end, in milliseconds.
+    pub late_ms: u64,
 }
 
 impl EndEvidence {
-    /// Collects the evidence on an answer of `peer` that has just ended. Tries to connect to
-    /// `peer` only where that decides, for up to 1,420 ms.
-    pub async fn collect(
-        framing: BodyFraming,
-        content: AnswerContent,
-        peer: SocketAddr,
-        is_leaving: bool,
-    ) -> Self {
-        let evidence = Self { framing, content, listener: None, is_leaving };
+    /// Collects the evidence on an answer that has just ended. Tries to connect to its target only
+    /// where that decides, for up to 1,420 ms. `late_ms` returns by how many milliseconds the
+    /// thread that reads answers is late.
+    pub async fn collect(end: AnswerEnd, late_ms: impl Fn() -> u64) -> Self {
+        let evidence = Self { end, listener: None, late_ms: late_ms() };
         if evidence.check() != Err(UnprovedEnd::Unknown) {
             return evidence;
         }
-        Self { listener: Some(probe_after_end(peer).await), ..evidence }
+        let listener = Some(probe_after_end(end.peer).await);
+        Self { listener, late_ms: evidence.late_ms.max(late_ms()), ..evidence }
     }
 
     /// Checks that the answer is whole.
@@ -80,17 +90,17 @@
     /// # Errors
     /// Returns an error if nothing proves it.
     pub fn check(&self) -> Result<(), UnprovedEnd> {
-        match (self.framing, self.content, self.listener) {
-            (BodyFraming::Length | BodyFraming::Chunked, _, _) => Ok(()),
-            (BodyFraming::Connection, AnswerContent::Stream, _) => Err(UnprovedEnd::Stream),
-            (_, AnswerContent::Opaque, Some(ListenerState::Listening)) => Ok(()),
-            (_, AnswerContent::Opaque, Some(ListenerState::Refused)) if self.is_leaving => {
-                Err(UnprovedEnd::Left)
-            }
-            (_, AnswerContent::Opaque, Some(ListenerState::Refused)) => Err(UnprovedEnd::Ended),
-            (_, AnswerContent::Opaque, Some(ListenerState::Unknown) | None) => {
-                Err(UnprovedEnd::Unknown)
-            }
+        match (self.end.framing, self.end.content) {
+            (BodyFraming::Length | BodyFraming::Chunked, _) => return Ok(()),
+            (BodyFraming::Connection, AnswerContent::Stream) => return Err(UnprovedEnd::Stream),
+            (BodyFraming::Connection, AnswerContent::Opaque) => {}
+        }
+        match self.listener {
+            Some(ListenerState::Refused) if self.end.is_leaving => Err(UnprovedEnd::Left),
+            Some(ListenerState::Refused) => Err(UnprovedEnd::Ended),
+            _ if self.late_ms >= MAX_LATE_MS => Err(UnprovedEnd::Late),
+            Some(ListenerState::Listening) => Ok(()),
+            Some(ListenerState::Unknown) | None => Err(UnprovedEnd::Unknown),
         }
     }
 }
@@ -104,6 +114,8 @@
     Ended,
     #[error("response has no length, and its target, which leaves, no longer listens")]
     Left,
+    #[error("response has no length, and this router saw its end late")]
+    Late,
     #[error("response has no length, and its target is not known to be running")]
     Unknown,
 }
--- a/crates/outbound/tests/ending.rs
+++ b/crates/outbound/tests/ending.rs
@@ -1,10 +1,14 @@
 //! Tests of what proves that an answer is whole.
 
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
-use outbound::{AnswerContent, BodyFraming, EndEvidence, ListenerState, UnprovedEnd};
+use outbound::{AnswerContent, AnswerEnd, BodyFraming, EndEvidence, ListenerState, UnprovedEnd};
 use tokio::net::TcpListener;
 
+/// Address of targets that no test connects to.
+const UNUSED: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1));
+
 /// Guards against half an answer that is passed on as whole: the table of evidence, row by row,
 /// each for targets that serve and that leave.
 #[test]
@@ -14,9 +18,11 @@
     use ListenerState::{Listening, Refused, Unknown};
     let listeners = [None, Some(Listening), Some(Refused), Some(Unknown)];
     for (is_leaving, ended) in [(false, UnprovedEnd::Ended), (true, UnprovedEnd::Left)] {
-        let check = |framing, content, listener| {
-            EndEvidence { framing, content, listener, is_leaving }.check()
+        let check_late = |framing, content, listener, late_ms| {
+            let end = AnswerEnd { framing, content, peer: UNUSED, is_leaving };
+            EndEvidence { end, listener, late_ms }.check()
         };
+        let check = |framing, content, listener| check_late(framing, content, listener, 499);
         for listener in listeners {
             for marked in [Length, Chunked] {
                 assert_eq!(check(marked, Opaque, listener), Ok(()), "{listener:?}");
@@ -29,6 +35,9 @@
         assert_eq!(check(Connection, Opaque, Some(Refused)), Err(ended));
         assert_eq!(check(Connection, Opaque, Some(Unknown)), Err(UnprovedEnd::Unknown));
         assert_eq!(check(Connection, Opaque, None), Err(UnprovedEnd::Unknown));
+        let late = check_late(Connection, Opaque, Some(Listening), 500);
+        assert_eq!(late, Err(UnprovedEnd::Late));
+        assert_eq!(check_late(Length, Opaque, Some(Listening), 500), Ok(()));
     }
 }
 
@@ -43,7 +52,8 @@
         (Connection, AnswerContent::Stream, None),
         (Connection, AnswerContent::Opaque, Some(ListenerState::Listening)),
     ] {
-        let evidence = EndEvidence::collect(framing, content, peer, false).await;
+        let end = AnswerEnd { framing, content, peer, is_leaving: false };
+        let evidence = EndEvidence::collect(end, || 0).await;
         assert_eq!(evidence.listener, expected, "{framing:?} {content:?}");
     }
     let accepted = tokio::time::timeout(Duration::from_millis(50), async {
@@ -63,7 +73,8 @@
         tokio::time::sleep(Duration::from_millis(3)).await;
         drop(listener);
     };
-    let collect = EndEvidence::collect(BodyFraming::Connection, AnswerContent::Opaque, peer, false);
-    let (evidence, ()) = tokio::join!(collect, end);
+    let (framing, content) = (BodyFraming::Connection, AnswerContent::Opaque);
+    let answer_end = AnswerEnd { framing, content, peer, is_leaving: false };
+    let (evidence, ()) = tokio::join!(EndEvidence::collect(answer_end, || 0), end);
     assert_eq!(evidence.check(), Err(UnprovedEnd::Ended));
 }
--- a/crates/router/src/plain.rs
+++ b/crates/router/src/plain.rs
@@ -7,7 +7,7 @@
 use base::Name;
 use hyper::body::Bytes;
 use ntex::http::Method;
-use outbound::{AnswerContent, BodyFraming, EndEvidence, ExchangeError};
+use outbound::{AnswerContent, AnswerEnd, BodyFraming, EndEvidence, ExchangeError};
 
 use crate::context::RouterContext;
 use crate::held::HeldBytes;
@@ -183,7 +183,9 @@
 ) -> Result<(), SendError> {
     let is_leaving = context.core().target_entry(target).is_none();
     let content = AnswerContent::Opaque;
-    let evidence = EndEvidence::collect(framing, content, address, is_leaving).await;
+    let end = AnswerEnd { framing, content, peer: address, is_leaving };
+    let late_ms = || context.lateness().late_ms(context.now());
+    let evidence = EndEvidence::collect(end, late_ms).await;
     evidence.check().map_err(|cause| SendError::MaybeSent(cause.to_string()))
 }
 
