rate: a limit lives as long as its target may, not as its entry (LIMIT)

What was seen: a target that names a rate and is cut off from the store loses its entry for some seconds, serves on, and its entry comes back. Cause: each change of the targets removed the limits of the incarnations that had no entry. The facts that peers passed on went the same way. The next answer names the limit again, but until it is read each instance sends what it likes. Ruled out: the bucket and the permits, which are kept with the limit; facts of peers, which all forget at the same change. Change: limits without an entry are kept for an hour, among the 1,024 that are kept in all; they yield to those with one, and are told to peers only where the others leave room, so that the limits of many departed targets delay no news. The model of two limiters (limiter_machine) lets entries come and go, too. Tests: the new step of limiter_machine and limits_of_targets_without_an_entry_yield_to_others use a function that the code before does not have, so they were not run on it.

--- a/crates/gateway/src/offers.rs
+++ b/crates/gateway/src/offers.rs
@@ -2,7 +2,7 @@
 //! router sees of the targets.
 
 use std::cell::Cell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -265,7 +265,7 @@
 }
 
 /// Drops what is known of targets that have left.
-pub(crate) fn retain_models(context: &GatewayContext, known: &[RateKey]) {
+pub(crate) fn retain_models(context: &GatewayContext, known: &HashSet<RateKey>) {
     let now = context.now();
     let mut state = context.offers.state();
     state.owner.retain(|key| known.contains(&key), now);
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -1,7 +1,7 @@
 //! Permits to send requests to targets that name a request rate: asks their issuers, responds
 //! to peers, and keeps what is known of limits up to date.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
@@ -287,10 +287,11 @@
     context.limits().set_fleet(fleet.with_draining(draining).with_unheard(unheard), now);
 }
 
-/// Forgets the limits of targets that have left.
-pub(crate) fn retain_targets(context: &GatewayContext) {
-    let known: Vec<RateKey> = context.targets().known().map(rate_key).collect();
+/// Records which targets have an entry. What one named in its responses holds for as long as its
+/// incarnation may serve.
+pub(crate) fn update_targets(context: &GatewayContext) {
+    let known: HashSet<RateKey> = context.targets().known().map(rate_key).collect();
     let now = context.now();
-    context.limits().retain_targets(|key| known.contains(&key), now);
+    context.limits().set_present(|key| known.contains(&key), now);
     retain_models(context, &known);
 }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -8,7 +8,7 @@
 
 use crate::cold::{fill_in_cold, record_cold_times, record_taken_back, update_all_cold};
 use crate::context::GatewayContext;
-use crate::permits::retain_targets;
+use crate::permits::update_targets;
 use crate::platform::SourceUpdate;
 use crate::streams::{tell_newly_uncertain, update_versions};
 
@@ -97,7 +97,7 @@
     if has_changed {
         let known: Vec<_> = context.targets().known().map(|entry| entry.id.clone()).collect();
         context.loads().retain_targets(|id| known.contains(id));
-        retain_targets(context);
+        update_targets(context);
         update_versions(context);
     }
     context.source().advance(update.revision)
--- a/crates/rate/src/facts.rs
+++ b/crates/rate/src/facts.rs
@@ -43,6 +43,8 @@
     /// On this router's clock; negative if a peer made the observation before this router
     /// started.
     observed_at: i64,
+    /// Since when no entry of the incarnation is known; `None` while one is.
+    absent_since: Option<Millis>,
 }
 
 impl KnownLimit {
@@ -55,12 +57,18 @@
     i64::try_from(time).unwrap_or(i64::MAX)
 }
 
-/// Newest observation of each target that has named a limit.
+/// Newest observation of each incarnation of a target that has named a limit.
+///
+/// Invariant: only a newer observation of the incarnation ends its limit. A limit whose entry is
+/// gone is kept for [`RateSettings::absent_ms`] while there is room, as the target may serve on and
+/// be published again.
 #[derive(Debug, Default)]
 pub(crate) struct LimitTable {
     limits: HashMap<RateKey, KnownLimit>,
     /// Index of the fact that the next notice starts at.
     next_fact: usize,
+    /// The same among the facts of targets without an entry.
+    next_absent: usize,
 }
 
 impl LimitTable {
@@ -97,7 +105,8 @@
         if known.is_none() {
             self.make_room(settings.max_facts);
         }
-        self.limits.insert(key, KnownLimit { per_second, observed_at });
+        let absent_since = known.and_then(|known| known.absent_since);
+        self.limits.insert(key, KnownLimit { per_second, observed_at, absent_since });
         let previous = known.and_then(|known| known.per_second);
         match per_second {
             _ if previous == per_second => None,
@@ -131,31 +140,39 @@
         }
     }
 
-    /// Returns some facts, different ones each time.
+    /// Returns some facts, different ones each time. Those of targets without an entry take only
+    /// the room that the others leave.
     pub(crate) fn next_facts(
         &mut self,
         max_facts: usize,
         now: Millis,
     ) -> Vec<(RateKey, LimitFact)> {
-        let mut keys: Vec<RateKey> = self.limits.keys().copied().collect();
+        let (mut keys, mut absent): (Vec<RateKey>, Vec<RateKey>) =
+            self.limits.keys().partition(|key| self.limits[key].absent_since.is_none());
         keys.sort_unstable();
-        let count = keys.len().min(max_facts);
-        let start = self.next_fact.checked_rem(keys.len()).unwrap_or(0);
-        self.next_fact = start + count;
-        let keys = keys.iter().cycle().skip(start).take(count);
-        keys.map(|key| (*key, self.fact(*key, now))).collect()
+        absent.sort_unstable();
+        let facts = [
+            next_keys(&keys, max_facts, &mut self.next_fact),
+            next_keys(&absent, max_facts.saturating_sub(keys.len()), &mut self.next_absent),
+        ];
+        facts.into_iter().flatten().map(|key| (key, self.fact(key, now))).collect()
     }
 
-    /// Removes targets that are not known any more, and limits that ended long ago.
-    pub(crate) fn retain(
-        &mut self,
-        is_known: impl Fn(RateKey) -> bool,
-        forget_ms: Millis,
-        now: Millis,
-    ) {
-        self.limits.retain(|key, known| {
-            let is_current = known.per_second.is_some() || known.age(now) < forget_ms;
-            is_current && is_known(*key)
+    /// Records of which targets an entry is known.
+    pub(crate) fn set_present(&mut self, is_known: impl Fn(RateKey) -> bool, now: Millis) {
+        for (key, known) in &mut self.limits {
+            let absent_since = known.absent_since.unwrap_or(now);
+            known.absent_since = (!is_known(*key)).then_some(absent_since);
+        }
+    }
+
+    /// Removes limits that ended long ago, and those of targets whose entries have been gone for
+    /// long.
+    pub(crate) fn expire(&mut self, settings: &RateSettings, now: Millis) {
+        self.limits.retain(|_, known| {
+            let is_current = known.per_second.is_some() || known.age(now) < settings.forget_ms;
+            let absent_ms = known.absent_since.map_or(0, |since| now.saturating_sub(since));
+            is_current && absent_ms < settings.absent_ms
         });
     }
 
@@ -171,15 +188,25 @@
         self.limits.values().filter(|known| known.per_second.is_some()).count()
     }
 
-    /// Removes the oldest fact if there are as many as allowed, an ended limit first.
+    /// Removes the oldest fact if there are as many as allowed: an ended limit first, then one of a
+    /// target without an entry.
     fn make_room(&mut self, max_facts: usize) {
         if self.limits.len() < max_facts {
             return;
         }
-        let oldest =
-            self.limits.iter().min_by_key(|(_, k)| (k.per_second.is_some(), k.observed_at));
+        let oldest = self.limits.iter().min_by_key(|(_, known)| {
+            (known.per_second.is_some(), known.absent_since.is_none(), known.observed_at)
+        });
         if let Some(key) = oldest.map(|(key, _)| *key) {
             self.limits.remove(&key);
         }
     }
 }
+
+/// Returns `count` of the keys at most, beginning at the index `next`, which it advances.
+fn next_keys(keys: &[RateKey], count: usize, next: &mut usize) -> Vec<RateKey> {
+    let count = keys.len().min(count);
+    let start = next.checked_rem(keys.len()).unwrap_or(0);
+    *next = start + count;
+    keys.iter().cycle().skip(start).take(count).copied().collect()
+}
--- a/crates/rate/src/limiter.rs
+++ b/crates/rate/src/limiter.rs
@@ -215,13 +215,21 @@
 
     /// Returns what all peers should know, for a round of heartbeats.
     pub fn notice(&mut self, now: Millis) -> LimitNotice {
+        self.expire(now);
         LimitNotice { facts: self.limits.next_facts(self.settings.max_notice, now) }
     }
 
-    /// Removes what is known of targets that have left.
-    pub fn retain_targets(&mut self, is_known: impl Fn(RateKey) -> bool, now: Millis) {
+    /// Records which targets have an entry. The limits of the others are kept, as they may be
+    /// published again.
+    pub fn set_present(&mut self, is_known: impl Fn(RateKey) -> bool, now: Millis) {
         self.cold.retain(&is_known, now);
-        self.limits.retain(is_known, self.settings.forget_ms, now);
+        self.limits.set_present(is_known, now);
+    }
+
+    /// Removes what is known of limits that ended long ago, or whose targets' entries have been
+    /// gone for long.
+    fn expire(&mut self, now: Millis) {
+        self.limits.expire(&self.settings, now);
         let limits = &self.limits;
         self.buckets.retain(|key, _| limits.contains(*key));
         self.permits.retain(|key, _| limits.contains(*key));
--- a/crates/rate/src/settings.rs
+++ b/crates/rate/src/settings.rs
@@ -24,6 +24,8 @@
     pub message_ms: Millis,
     /// Time in milliseconds for which the end of a limit is remembered.
     pub forget_ms: Millis,
+    /// Time in milliseconds for which the limit of a target is remembered whose entry is gone.
+    pub absent_ms: Millis,
     /// Maximum number of targets whose limits are known.
     pub max_facts: usize,
     /// Maximum limits in one notice, so that it fits into a heartbeat.
@@ -42,6 +44,7 @@
             pending_retry_ms: 10,
             message_ms: 500,
             forget_ms: 30_000,
+            absent_ms: 3_600_000,
             max_facts: 1_024,
             max_notice: 8,
         }
--- a/crates/rate/tests/limiter_machine.rs
+++ b/crates/rate/tests/limiter_machine.rs
@@ -39,6 +39,11 @@
     GiveBack {
         router: usize,
     },
+    /// The entry of the target is gone, or back.
+    Entry {
+        router: usize,
+        is_present: bool,
+    },
 }
 
 /// The largest number of requests that may be sent at any time, from the limits so far.
@@ -69,7 +74,9 @@
             8 => (router.clone(), any::<bool>())
                 .prop_map(|(router, is_spare)| Transition::Acquire { router, is_spare }),
             6 => any::<bool>().prop_map(|is_abandoned| Transition::Respond { is_abandoned }),
-            2 => router.prop_map(|router| Transition::GiveBack { router }),
+            2 => router.clone().prop_map(|router| Transition::GiveBack { router }),
+            2 => (router, any::<bool>())
+                .prop_map(|(router, is_present)| Transition::Entry { router, is_present }),
         ]
         .boxed()
     }
@@ -88,7 +95,8 @@
             Transition::Name { limit: None, .. }
             | Transition::Acquire { .. }
             | Transition::Respond { .. }
-            | Transition::GiveBack { .. } => {}
+            | Transition::GiveBack { .. }
+            | Transition::Entry { .. } => {}
         }
         oracle
     }
@@ -163,6 +171,12 @@
                 test.sent -= 1;
                 test.routers[router].give_back(key(), now);
             }
+            Transition::Entry { router, is_present } => {
+                let limit = test.routers[router].limit(key());
+                test.routers[router].set_present(|_| is_present, now);
+                test.routers[router].notice(now);
+                assert_eq!(test.routers[router].limit(key()), limit, "what the target named");
+            }
             Transition::Respond { .. } | Transition::GiveBack { .. } => {}
         }
         test
@@ -187,7 +201,8 @@
     }
 }
 
-/// Guards against permits that are granted twice: used, given back, late or abandoned ones.
+/// Guards against permits that are granted twice: used, given back, late or abandoned ones; and
+/// against a limit that is forgotten as the entry of its target is gone (LIMIT).
 #[test]
 fn no_more_permits_are_granted_than_the_limits_allow() {
     let config = Config { cases: 400, failure_persistence: None, ..Config::default() };
@@ -202,3 +217,25 @@
     });
     result.unwrap();
 }
+
+/// Guards against limits that are lost or told late, as those of targets without an entry take their
+/// room (LIMIT).
+#[test]
+fn limits_of_targets_without_an_entry_yield_to_others() {
+    let settings = RateSettings { max_facts: 12, ..RateSettings::default() };
+    let fleet = FleetView::new("router", true, Vec::new(), 1);
+    let mut router = RateLimiter::new(fleet, settings);
+    let key = |target: u64| RateKey::new(TARGET, target);
+    for target in 0..12 {
+        router.record_response(key(target), Some(2.0), target, target);
+    }
+    let has_entry = |known: RateKey| (0..6).any(|target| key(target) == known);
+    router.set_present(has_entry, 20);
+    router.record_response(key(12), Some(2.0), 30, 30);
+    assert!((0..6).all(|target| router.limit(key(target)).is_some()), "limits with an entry");
+    assert_eq!(router.limit(key(6)), None, "the oldest limit without an entry");
+    let told: Vec<RateKey> = router.notice(40).facts.into_iter().map(|(key, _)| key).collect();
+    assert!((0..6).chain([12]).all(|target| told.contains(&key(target))), "they are told first");
+    router.notice(settings.absent_ms + 50);
+    assert_eq!(router.limited_targets(), 7);
+}
