target: only a newer incarnation undoes leaving (DRAIN)

Cause: leaving was compared with the very incarnation, though incarnations rise with each start; and remove_oldest_tombstone removed it with the record. Change: an incarnation leaves if it or a newer one is known to; 0, which stands for a start that is not known, is never newer. Removals of old records leave it alone; it is limited by itself. What this relies on: the start that an entry names rises with each start of the target (news: "the Unix millisecond of its start"). A target whose clock went back over a planned stop under the same id would stay unused. Evidence: leaving_is_undone_by_a_new_incarnation_alone, on the code before: "incarnation 0"; with only the comparison mended: "after other targets have left". Tests changed: the oracles of answers_machine and registry_machine demanded that an older incarnation is used after a newer one has left ("(1, 1) is unused at 0" after Leaves { target: 1, incarnation: 2 }). They now demand the opposite, so an older incarnation that is used fails them; no other check of theirs changed.

--- a/crates/target/src/leaving.rs
+++ b/crates/target/src/leaving.rs
@@ -45,11 +45,14 @@
 }
 
 /// The incarnations that leave, by target.
+///
+/// Invariant: a target that leaves is used again only as an incarnation that is newer than each that
+/// is known to leave. Incarnations rise with each start, and 0 is one that is not known.
 #[derive(Debug, Default)]
 pub(crate) struct LeavingTargets(BTreeMap<Name, BTreeMap<u64, Departure>>);
 
 impl LeavingTargets {
-    /// Records that an incarnation leaves; returns whether that is new.
+    /// Records that an incarnation leaves; returns whether it did not count as leaving before.
     pub(crate) fn record(
         &mut self,
         id: &Name,
@@ -64,7 +67,6 @@
         let incarnations = self.0.entry(Name::clone(id)).or_default();
         incarnations.insert(incarnation, Departure { origin, learned_at: now });
         if incarnations.len() > MAX_INCARNATIONS {
-            // Incarnations rise with each start, so the first one is the oldest.
             let oldest = incarnations.iter().min_by_key(|(incarnation, departure)| {
                 (departure.origin != LeavingOrigin::Peer, **incarnation)
             });
@@ -90,12 +92,10 @@
         }
     }
 
+    /// Whether an incarnation leaves or has left.
     pub(crate) fn contains(&self, id: &str, incarnation: u64) -> bool {
-        self.0.get(id).is_some_and(|incarnations| incarnations.contains_key(&incarnation))
-    }
-
-    pub(crate) fn remove(&mut self, id: &str) {
-        self.0.remove(id);
+        let incarnations = self.0.get(id);
+        incarnations.is_some_and(|known| known.range(incarnation..).next().is_some())
     }
 
     /// Returns the targets that said lately in responses to this router that they leave, the
--- a/crates/target/src/registry.rs
+++ b/crates/target/src/registry.rs
@@ -292,7 +292,6 @@
             tombstones.min_by_key(|(_, record)| record.revision).map(|(id, _)| Name::clone(id));
         if let Some(id) = oldest {
             self.records.remove(&id);
-            self.leaving.remove(&id);
         }
     }
 
--- a/crates/target/tests/answers_machine.rs
+++ b/crates/target/tests/answers_machine.rs
@@ -76,9 +76,14 @@
         self.published.get(&target).map(|incarnation| (target, *incarnation))
     }
 
+    /// Whether this incarnation left or is older than one that did.
+    fn has_left(&self, key: (usize, u64)) -> bool {
+        self.left.range(key..=(key.0, u64::MAX)).next().is_some()
+    }
+
     /// Whether a request to the target would break what the target asked for.
     fn is_forbidden(&self, key: (usize, u64)) -> bool {
-        self.left.contains(&key)
+        self.has_left(key)
             || self.closed.get(&key).is_some_and(|closed| self.now < closed.asked_until)
     }
 
@@ -86,7 +91,7 @@
     fn is_required(&self, key: (usize, u64)) -> bool {
         let trial_ms = BackoffSettings::default().trial_ms;
         let is_tried = self.sent_at.get(&key).is_some_and(|at| self.now < at + trial_ms);
-        !self.left.contains(&key)
+        !self.has_left(key)
             && self.closed.get(&key).is_none_or(|closed| self.now >= closed.latest && !is_tried)
     }
 }
--- a/crates/target/tests/registry.rs
+++ b/crates/target/tests/registry.rs
@@ -293,3 +293,31 @@
     assert_eq!(registry.merge(record(untold), 20), RecordChange::Unchanged);
     assert_eq!(registry.known().collect::<Vec<_>>(), [&told]);
 }
+
+/// Guards against a target that left and is used again without a new start (DRAIN): by an entry of an
+/// earlier or unknown incarnation, or after many other targets have left.
+#[test]
+fn leaving_is_undone_by_a_new_incarnation_alone() {
+    let settings = RegistrySettings { max_tombstones: 1, ..RegistrySettings::default() };
+    let mut registry = TargetRegistry::new(settings);
+    let of_incarnation = |incarnation: u64, revision: u64, state: TargetState| TargetRecord {
+        id: "a".into(),
+        entry: Some(entry("a", incarnation, state)),
+        revision,
+    };
+    registry.merge(of_incarnation(2, 1, TargetState::Draining), 0);
+    for (revision, incarnation) in [(2, 0), (3, 1), (4, 2)] {
+        registry.merge(of_incarnation(incarnation, revision, TargetState::Serving), 0);
+        assert!(!serves(&registry, "a", 0), "incarnation {incarnation}");
+    }
+    for (revision, id) in [(5, "a"), (6, "b"), (7, "c")] {
+        registry.merge(written(id, revision, TargetState::Serving), 0);
+        registry.merge(removed(id, 10 + revision), 0);
+    }
+    // Long after the time for which removals are remembered.
+    let now = 3_600_000;
+    registry.merge(in_era(1, of_incarnation(2, 1, TargetState::Serving)), now);
+    assert!(!serves(&registry, "a", now), "after other targets have left");
+    registry.merge(in_era(1, of_incarnation(3, 2, TargetState::Serving)), now);
+    assert!(serves(&registry, "a", now), "it has started again");
+}
--- a/crates/target/tests/registry_machine.rs
+++ b/crates/target/tests/registry_machine.rs
@@ -82,7 +82,8 @@
     }
 
     fn is_drained(&self, entry: &TargetEntry) -> bool {
-        self.drained.contains(&(entry.id.clone(), entry.incarnation))
+        let newer = (entry.id.clone(), entry.incarnation)..=(entry.id.clone(), u64::MAX);
+        self.drained.range(newer).next().is_some()
     }
 
     /// Returns the current content and revision of the source.
