Revert "inbound: a request whose head is half read is open"

Cause: the timer of a head runs from the opening of a connection on, so each connection without a byte counted as open for 5 s. Callers that connect again kept the process open until the exit time of its plan, which a late process misses before it is killed. Change: the change is taken back. Not traced: rates::surplus_is_refused_at_once_until_the_limits_end, which failed once in that run.

--- a/crates/admit/src/closing.rs
+++ b/crates/admit/src/closing.rs
@@ -12,8 +12,7 @@
 pub struct OpenCounts {
     /// Requests that were read and whose answers are not written.
     pub requests: usize,
-    /// Connections with bytes that are not written, or with a request or a part of one that is not
-    /// answered.
+    /// Connections with bytes that are not written, or with a whole request that is not read.
     pub connections: usize,
 }
 
