router: reports, states and orders of targets get connections of their own

Callers saw: nothing known. Cause: PlatformClient kept connections to targets as it does to the configuration service; responses to it name no request. docs/PROTOCOL.md has "Connections to targets are used once, so a late or doubled answer has no later request to be taken for", which held for calls only. Change: TargetClient opens a connection for each request to a target; PlatformClient keeps those to the configuration service and the instance list. Evidence: bad_input::reports_of_targets_get_connections_of_their_own, before: "requests on a used connection, left: 2 right: 0". That a second report leads to an order was not shown by a run. After it: bad_input and dying_targets of the process tests, 11 passed.

--- a/crates/bench/tests/processes/bad_input.rs
+++ b/crates/bench/tests/processes/bad_input.rs
@@ -3,6 +3,8 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use crate::fixture::{ACCOUNT, APP, IDEMPOTENT_PATH, MODEL, with_fleet};
@@ -223,3 +225,50 @@
         Ok(())
     });
 }
+
+/// Guards against a late second load report that is taken for the response to a later request: a
+/// report read as an engine's state says that it holds no model.
+#[test]
+fn reports_of_targets_get_connections_of_their_own() {
+    with_fleet(1, |mut fleet, caller| async move {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let counts: Arc<[AtomicUsize; 2]> = Arc::default();
+        let counted = Arc::clone(&counts);
+        std::thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let counts = Arc::clone(&counted);
+                std::thread::spawn(move || -> std::io::Result<()> {
+                    // The first request of a connection, then those on a used one.
+                    let mut index = 0;
+                    while stream.read(&mut [0; 4_096])? > 0 {
+                        counts[index].fetch_add(1, Ordering::Relaxed);
+                        index = 1;
+                        let body = "{\"active\":0,\"waiting\":0}";
+                        let length = body.len();
+                        write!(
+                            stream,
+                            "HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}"
+                        )?;
+                    }
+                    Ok(())
+                });
+            }
+        });
+        for target in fleet.targets.iter_mut().filter(|target| target.service == APP) {
+            target.address = address;
+        }
+        let instances = fleet.instances(&[]);
+        fleet.set_platform(&caller, &json!({ "instances": instances })).await?;
+        let [first, later] = &*counts;
+        // Several reads of each target.
+        let reads = async {
+            while first.load(Ordering::Relaxed) + later.load(Ordering::Relaxed) < 9 {
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        };
+        tokio::time::timeout(Duration::from_secs(30), reads).await?;
+        assert_eq!(later.load(Ordering::Relaxed), 0, "requests on a used connection");
+        Ok(())
+    });
+}
--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -10,7 +10,7 @@
 use anyhow::Context;
 use base::Name;
 use http::request::Builder;
-use http::{Method, Request, StatusCode};
+use http::{Method, Request, Response, StatusCode};
 use hyper::body::Bytes;
 use ntex::SharedCfg;
 use ntex::client::{Client, Connector};
@@ -32,11 +32,11 @@
 /// setting, a second connection to the same address would wait until an
 /// unrelated one ends.
 const MAX_CONNECTIONS: usize = 100_000;
-/// Maximum size of a response to [`PlatformClient`], in bytes.
+/// Maximum size of a response to [`PlatformClient`] or [`TargetClient`], in bytes.
 const MAX_PLATFORM_BYTES: usize = 4 << 20;
 
 /// Maximum number of idle clients of a [`PlatformClient`]. Beyond it all are dropped, as
-/// most then belong to targets that are gone.
+/// most then belong to peers that are gone.
 const MAX_IDLE_CLIENTS: usize = 4_096;
 
 /// An error while exchanging a message with a peer.
@@ -136,8 +136,8 @@
     }
 }
 
-/// Client for the configuration service and the instance list, and for the load
-/// reports, states and orders of targets. Their responses may end with the connection.
+/// Client for the configuration service and the instance list. Their responses may end with the
+/// connection.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PlatformClient {
     /// Idle clients by peer.
@@ -156,8 +156,41 @@
         path: &str,
         timeout_ms: u64,
     ) -> anyhow::Result<Option<A>> {
+        let idle = self.idle.borrow_mut().remove(&address);
+        let mut client = idle.unwrap_or_else(|| FetchClient::new(address, MAX_PLATFORM_BYTES));
         let request = Request::builder().method(Method::GET).uri(path);
-        self.exchange_json(address, request, Bytes::new(), timeout_ms)
+        let read = async {
+            let timeout = Duration::from_millis(timeout_ms);
+            let response = client.fetch_request(request, Bytes::new(), timeout).await?;
+            let mut idle = self.idle.borrow_mut();
+            if idle.len() >= MAX_IDLE_CLIENTS {
+                idle.clear();
+            }
+            idle.insert(address, client);
+            decode_json(&response)
+        };
+        read.await.with_context(|| format!("step=read peer={address} path={path}"))
+    }
+}
+
+/// Client for the load reports, states and orders of targets. These responses name no request, so
+/// each gets a connection of its own: a late one can't be taken for that to a later request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TargetClient;
+
+impl TargetClient {
+    /// Reads JSON. Returns `None` if the response has no content (status 204).
+    ///
+    /// # Errors
+    /// Returns the same errors as [`PlatformClient::read`].
+    pub(crate) async fn read<A: DeserializeOwned>(
+        self,
+        address: SocketAddr,
+        path: &str,
+        timeout_ms: u64,
+    ) -> anyhow::Result<Option<A>> {
+        let request = Request::builder().method(Method::GET).uri(path);
+        Self::exchange(address, request, Bytes::new(), timeout_ms)
             .await
             .with_context(|| format!("step=read peer={address} path={path}"))
     }
@@ -167,7 +200,7 @@
     /// # Errors
     /// Returns the same errors as [`PlatformClient::read`].
     pub(crate) async fn send<T: Serialize, A: DeserializeOwned>(
-        &self,
+        self,
         address: SocketAddr,
         path: &str,
         message: &T,
@@ -178,35 +211,31 @@
             .uri(path)
             .header(http::header::CONTENT_TYPE, "application/json");
         let body = Bytes::from(serde_json::to_vec(message)?);
-        self.exchange_json(address, request, body, timeout_ms)
+        Self::exchange(address, request, body, timeout_ms)
             .await
             .with_context(|| format!("step=send peer={address} path={path}"))
     }
 
-    async fn exchange_json<A: DeserializeOwned>(
-        &self,
+    async fn exchange<A: DeserializeOwned>(
         address: SocketAddr,
         request: Builder,
         body: Bytes,
         timeout_ms: u64,
     ) -> anyhow::Result<Option<A>> {
-        let idle = self.idle.borrow_mut().remove(&address);
-        let mut client = idle.unwrap_or_else(|| FetchClient::new(address, MAX_PLATFORM_BYTES));
+        let mut client = FetchClient::new(address, MAX_PLATFORM_BYTES);
+        let request = request.header(http::header::CONNECTION, "close");
         let timeout = Duration::from_millis(timeout_ms);
-        let response = client.fetch_request(request, body, timeout).await?;
-        let mut idle = self.idle.borrow_mut();
-        if idle.len() >= MAX_IDLE_CLIENTS {
-            idle.clear();
-        }
-        idle.insert(address, client);
-        drop(idle);
-        let status = response.status();
-        if status == StatusCode::NO_CONTENT {
-            return Ok(None);
-        }
-        anyhow::ensure!(status.is_success(), "answered with status {}", status.as_u16());
-        Ok(Some(serde_json::from_slice(response.body())?))
+        decode_json(&client.fetch_request(request, body, timeout).await?)
+    }
+}
+
+fn decode_json<A: DeserializeOwned>(response: &Response<Bytes>) -> anyhow::Result<Option<A>> {
+    let status = response.status();
+    if status == StatusCode::NO_CONTENT {
+        return Ok(None);
     }
+    anyhow::ensure!(status.is_success(), "answered with status {}", status.as_u16());
+    Ok(Some(serde_json::from_slice(response.body())?))
 }
 
 async fn build_client(connector: Connector) -> anyhow::Result<Client> {
--- a/crates/router/src/load.rs
+++ b/crates/router/src/load.rs
@@ -7,7 +7,7 @@
 use base::Name;
 use serde::Deserialize;
 
-use crate::client::PlatformClient;
+use crate::client::TargetClient;
 use crate::context::RouterContext;
 
 /// Interval between reads of one target, in milliseconds.
@@ -32,10 +32,10 @@
 }
 
 /// Polls the load of targets until the process stops.
-pub(crate) async fn run_load_polling(context: Arc<RouterContext>, platform: PlatformClient) {
+pub(crate) async fn run_load_polling(context: Arc<RouterContext>, client: TargetClient) {
     loop {
         for (service, target, address) in own_targets(&context) {
-            let read = read_load(Arc::clone(&context), platform.clone(), service, target, address);
+            let read = read_load(Arc::clone(&context), client, service, target, address);
             ntex::rt::spawn(read);
         }
         let all_reachable = {
@@ -68,12 +68,12 @@
 
 async fn read_load(
     context: Arc<RouterContext>,
-    platform: PlatformClient,
+    client: TargetClient,
     service: Name,
     target: Name,
     address: SocketAddr,
 ) {
-    let read = platform.read::<LoadReport>(address, "/v1/load", READ_TIMEOUT_MS).await;
+    let read = client.read::<LoadReport>(address, "/v1/load", READ_TIMEOUT_MS).await;
     let now = context.now();
     let mut core = context.core();
     let Some(state) = core.services.get_mut(&service) else { return };
--- a/crates/router/src/placing.rs
+++ b/crates/router/src/placing.rs
@@ -19,7 +19,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::client::PlatformClient;
+use crate::client::TargetClient;
 use crate::context::RouterContext;
 
 /// Interval between checks of a service's engines, in milliseconds.
@@ -63,11 +63,11 @@
 }
 
 /// Checks engines and sends orders until the process stops.
-pub(crate) async fn run_placement(context: Arc<RouterContext>, platform: PlatformClient) {
+pub(crate) async fn run_placement(context: Arc<RouterContext>, client: TargetClient) {
     let mut ordered_at: BTreeMap<Name, Millis> = BTreeMap::new();
     loop {
         for plan in plan_own_services(&context) {
-            place_service(&context, &platform, &plan, &mut ordered_at).await;
+            place_service(&context, client, &plan, &mut ordered_at).await;
         }
         tokio::select! {
             () = tokio::time::sleep(Duration::from_millis(PERIOD_MS)) => {}
@@ -112,12 +112,12 @@
 
 async fn place_service(
     context: &RouterContext,
-    platform: &PlatformClient,
+    client: TargetClient,
     plan: &ServicePlan,
     ordered_at: &mut BTreeMap<Name, Millis>,
 ) {
     let queries = plan.engines.iter().map(|engine| async move {
-        let state = platform.read::<EngineState>(engine.address, "/v1/state", TIMEOUT_MS).await;
+        let state = client.read::<EngineState>(engine.address, "/v1/state", TIMEOUT_MS).await;
         // An engine that does not respond counts as holding no model and gets
         // no order, as another router may soon be responsible for it.
         Some((engine, state.ok()??))
@@ -150,13 +150,13 @@
         ordered_at.insert(Name::clone(&order.engine), now);
         let engine = plan.engines.iter().find(|engine| engine.name == order.engine);
         if let Some(engine) = engine {
-            send_order(platform, plan, engine, &order, now).await;
+            send_order(client, plan, engine, &order, now).await;
         }
     }
 }
 
 async fn send_order(
-    platform: &PlatformClient,
+    client: TargetClient,
     plan: &ServicePlan,
     engine: &EngineAddress,
     order: &EngineOrder,
@@ -165,7 +165,7 @@
     let fence = fencing_token(plan.revision, now / 1_000);
     let message = OrderMessage { fence, model: &order.model };
     let sent: anyhow::Result<Option<OrderResponse>> =
-        platform.send(engine.address, "/v1/orders", &message, TIMEOUT_MS).await;
+        client.send(engine.address, "/v1/orders", &message, TIMEOUT_MS).await;
     tracing::info!(
         unit = "place",
         service = %plan.service,
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -12,7 +12,7 @@
 use ntex::web::{self, App};
 
 use crate::accept::start_caller_server;
-use crate::client::{PeerClient, PlatformClient};
+use crate::client::{PeerClient, PlatformClient, TargetClient};
 use crate::context::RouterContext;
 use crate::granting::{run_gossip, run_granting};
 use crate::heartbeat::run_heartbeat;
@@ -82,14 +82,14 @@
         peer_listen = %context.settings.peer_listen,
     );
     ntex::rt::spawn(run_list_polling(Arc::clone(&context), platform.clone()));
-    ntex::rt::spawn(run_document_watch(Arc::clone(&context), platform.clone()));
+    ntex::rt::spawn(run_document_watch(Arc::clone(&context), platform));
     ntex::rt::spawn(run_heartbeat(Arc::clone(&context), peers.clone()));
     if context.settings.share == ShareMode::Gossip {
         ntex::rt::spawn(run_gossip(Arc::clone(&context), peers.clone()));
     }
     ntex::rt::spawn(run_granting(Arc::clone(&context), peers));
-    ntex::rt::spawn(run_load_polling(Arc::clone(&context), platform.clone()));
-    ntex::rt::spawn(run_placement(Arc::clone(&context), platform));
+    ntex::rt::spawn(run_load_polling(Arc::clone(&context), TargetClient));
+    ntex::rt::spawn(run_placement(Arc::clone(&context), TargetClient));
     signals.first().await;
     tokio::select! {
         () = drain(&context) => {}
