target: a revision promises what is there and what left (DRAIN)

Cause: an instance that starts lists the source, is at its newest revision, and knows no removal of a target that it never knew. A peer that is behind gets its records after the peer's own revision and moves to the newest one all the same. In the other direction the instance that listed takes the target from the peer that is behind. Ruled out: that the removal is lost on its way; the response never had it. Change: a registry has two revisions, that of what is there and that after which its records of removals are complete (SourceCoverage, with its invariants). A listing raises the second one to its own revision, a record of a removal that is forgotten to that of the record. A response to a request for changes says the second one and, if the peer is behind it, names the targets that have an entry, so that the peer removes the others; that is 20 bytes a target instead of all entries. Records up to the receiver's own revision bring back nothing that it does not have. If the receiver could not read the source before, missing targets get the time to be published again, as after its own recovery: the peer may have started since the outage. Versions: the new part follows all others of the response, so instances of the version before read what they did. From those, the receiver moves on as before, but promises no removals up to that revision to others.

--- a/crates/changes/src/lib.rs
+++ b/crates/changes/src/lib.rs
@@ -8,7 +8,7 @@
 use resume::{MoveNotice, VersionNotice};
 use route::{ColdSpec, RouteTable};
 use serde::{Deserialize, Serialize};
-use target::{DomainListing, LeftTarget, TargetRecord};
+use target::{DomainListing, LeftTarget, RemovalNotice, TargetRecord};
 
 pub use parts::{append_part, decode_part};
 
@@ -159,6 +159,9 @@
     pub cold: ColdNotice,
     /// What the peer knows of moved streams. Routers of earlier versions do not send it.
     pub moves: MoveNotice,
+    /// What the peer knows of removals; `None` beside a configuration alone, and from routers of
+    /// earlier versions.
+    pub removals: Option<RemovalNotice>,
 }
 
 impl PeerChanges {
@@ -172,6 +175,7 @@
             domains: None,
             cold: ColdNotice::of(Some(table)),
             moves: MoveNotice::default(),
+            removals: None,
         }
     }
 }
@@ -182,7 +186,8 @@
 /// # Errors
 /// Returns an error if the response can't be encoded.
 pub fn encode_changes(changes: &PeerChanges) -> Result<Vec<u8>, rmp_serde::encode::Error> {
-    let PeerChanges { response, notice, configuration, versions, domains, cold, moves } = changes;
+    let PeerChanges { response, notice, configuration, versions, domains, cold, moves, removals } =
+        changes;
     let mut bytes = rmp_serde::to_vec(response)?;
     append_part(&mut bytes, notice);
     append_part(&mut bytes, configuration);
@@ -191,6 +196,9 @@
     append_part(&mut bytes, &domains.clone().unwrap_or_default());
     append_part(&mut bytes, cold);
     append_part(&mut bytes, moves);
+    if let Some(removals) = removals {
+        append_part(&mut bytes, removals);
+    }
     Ok(bytes)
 }
 
@@ -218,5 +226,6 @@
         table.set_cold_specs(cold.services.clone());
     }
     let moves = decode_part(&mut body).unwrap_or_default();
-    Ok(PeerChanges { response, notice, configuration, versions, domains, cold, moves })
+    let removals = decode_part(&mut body);
+    Ok(PeerChanges { response, notice, configuration, versions, domains, cold, moves, removals })
 }
--- a/crates/changes/tests/parts.rs
+++ b/crates/changes/tests/parts.rs
@@ -9,11 +9,13 @@
 use route::{CallerLimits, ColdSpec, RouteTable, RouteTableBuilder, ServiceSpec};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use target::{DomainListing, DomainRecord, LeftTarget, TargetEntry, TargetRecord, TargetState};
+use target::{
+    DomainListing, DomainRecord, LeftTarget, RemovalNotice, TargetEntry, TargetRecord, TargetState,
+};
 
 const VERSION: u64 = 3;
 /// Parts with an index, the response included.
-const PARTS: usize = 7;
+const PARTS: usize = 8;
 /// Index of the software versions, which are a part of the records once they are decoded.
 const SOFTWARE: usize = PARTS;
 
@@ -73,6 +75,7 @@
         domains: Some(if has(4) { domains } else { DomainListing::default() }),
         cold: if has(5) { cold } else { ColdNotice::default() },
         moves: if has(6) { moves } else { MoveNotice::default() },
+        removals: has(7).then(|| RemovalNotice { since: 4, present: Some(vec!["t".into()]) }),
     }
 }
 
@@ -94,7 +97,7 @@
 
 /// Encodes a response of a router that knows one more element of the part `longer`.
 fn encode_longer(longer: usize) -> Vec<u8> {
-    let PeerChanges { response, notice, configuration, versions, domains, cold, moves } =
+    let PeerChanges { response, notice, configuration, versions, domains, cold, moves, removals } =
         response(|_| true);
     let mut bytes = encoded(&response);
     let append = |bytes: &mut Vec<u8>, index: usize, part: Vec<u8>| {
@@ -113,6 +116,7 @@
     append(&mut bytes, 4, encoded(&domains));
     append(&mut bytes, 5, encoded(&cold));
     append(&mut bytes, 6, encoded(&moves));
+    append(&mut bytes, 7, encoded(removals));
     bytes
 }
 
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -40,7 +40,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct SourceProgress {
     /// Revision up to which this router's view is complete; 0 before the first
-    /// update.
+    /// update. Peers are told it; what that promises stands at the coverage of
+    /// [`target::TargetRegistry`], which is never behind it.
     pub(crate) revision: u64,
     /// When this router last read from the source itself; none while it does not
     /// read.
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -17,7 +17,7 @@
 use crate::configuration::record_version;
 use crate::context::GatewayContext;
 use crate::platform::SourceUpdate;
-use crate::view::{UpdateOrigin, apply_peer_domains, apply_update, record_left_targets};
+use crate::view::{apply_peer_domains, apply_peer_update, record_left_targets};
 
 /// Time limit for fetching changes from a peer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
@@ -86,8 +86,9 @@
     let response = client.fetch(Method::POST, CHANGES_PATH, body, PEER_TIMEOUT).await?;
     let status = response.status();
     anyhow::ensure!(status.is_success(), "step=fetch_changes peer={peer}: status {status}");
-    let PeerChanges { response, notice, configuration, versions, domains, cold, moves } =
-        decode_changes(response.body())?;
+    let changes = decode_changes(response.body())?;
+    let PeerChanges { response, notice, configuration, versions, domains, cold, moves, removals } =
+        changes;
     // Recorded before the revision, from which this router may read the source next.
     record_version(context, peer, configuration.version);
     let now = context.now();
@@ -107,7 +108,7 @@
         ..SourceUpdate::default()
     };
     fill_in_cold(context, cold.version, cold.services);
-    apply_update(context, update, UpdateOrigin::Peer);
+    apply_peer_update(context, update, removals);
     {
         let mut resumes = context.resumes();
         resumes.merge_versions(versions, now);
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -89,7 +89,7 @@
         let answer = answer_request(&context, changes_request, receiver, request.io());
         return answer.map_or_else(|cause| not_encoded(&cause), configuration_response);
     }
-    let response = changes_since(&context, changes_request);
+    let (response, removals) = changes_since(&context, changes_request);
     // Read after the revision of the response, so that none of it is older.
     let versions = context.resumes().version_notice(context.now());
     let moves = context.resumes().move_notice(context.now());
@@ -101,6 +101,7 @@
         domains: Some(domain_listing(&context)),
         cold: ColdNotice::of(context.table().as_deref()),
         moves,
+        removals: Some(removals),
     };
     match encode_changes(&changes) {
         Ok(bytes) => full_response(PEER_MESSAGE_TYPE, bytes),
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -4,7 +4,7 @@
 use base::Millis;
 use changes::{ChangesNotice, ChangesRequest, ChangesResponse, ConfigurationNotice};
 use route::{RouteTable, StreamMoves, VersionVerdict};
-use target::{DomainChange, DomainListing, DomainRecord, LeftTarget, RecordChange};
+use target::{DomainChange, DomainListing, DomainRecord, LeftTarget, RecordChange, RemovalNotice};
 
 use crate::cold::{fill_in_cold, record_cold_times, record_taken_back, update_all_cold};
 use crate::context::GatewayContext;
@@ -31,6 +31,25 @@
     context: &GatewayContext,
     update: SourceUpdate,
     origin: UpdateOrigin,
+) -> bool {
+    apply(context, update, origin, None)
+}
+
+/// Applies the changes of a peer, with what it knows of removals. Returns whether they advanced the
+/// revision of this router's view.
+pub(crate) fn apply_peer_update(
+    context: &GatewayContext,
+    update: SourceUpdate,
+    removals: Option<RemovalNotice>,
+) -> bool {
+    apply(context, update, UpdateOrigin::Peer, removals)
+}
+
+fn apply(
+    context: &GatewayContext,
+    update: SourceUpdate,
+    origin: UpdateOrigin,
+    removals: Option<RemovalNotice>,
 ) -> bool {
     let now = context.now();
     // How long the changes were known to exist, and how late they may have been read.
@@ -70,12 +89,16 @@
     }
     // Before the targets may be selected.
     record_cold_times(context, &update.records, update.revision, origin);
-    let changes = if origin == UpdateOrigin::Listing {
-        context.targets().merge_listing(update.records, update.revision, now)
-    } else {
+    let changes = {
         let mut targets = context.targets();
-        let records = update.records.into_iter();
-        records.map(|record| (record.id.clone(), targets.merge(record, now))).collect()
+        let SourceUpdate { records, revision, .. } = update;
+        match origin {
+            UpdateOrigin::Listing => targets.merge_listing(records, revision, now),
+            UpdateOrigin::Changes => targets.merge_changes(records, revision, now),
+            UpdateOrigin::Peer | UpdateOrigin::Expiry => {
+                targets.merge_peer_changes(records, revision, removals, now)
+            }
+        }
     };
     let mut has_changed = false;
     for (target, change) in changes {
@@ -214,18 +237,23 @@
     ConfigurationNotice { version: context.versions().version() }
 }
 
-/// Returns the changes that this router knows and a peer lacks.
-pub(crate) fn changes_since(context: &GatewayContext, request: ChangesRequest) -> ChangesResponse {
+/// Returns the changes that this router knows and a peer lacks, and what the peer has to know of
+/// removals.
+pub(crate) fn changes_since(
+    context: &GatewayContext,
+    request: ChangesRequest,
+) -> (ChangesResponse, RemovalNotice) {
     let now: Millis = context.now();
     // The revision is read first, so that the response is complete up to it even
     // if newer changes arrive meanwhile.
     let revision = context.source().revision;
     let table = context.table().filter(|table| Some(table.version) > request.version);
     let targets = context.targets();
-    ChangesResponse {
+    let response = ChangesResponse {
         revision,
         table: table.map(|table| (*table).clone()),
         records: targets.records_since(request.after),
         source_recovery_age: targets.recovery_age(now),
-    }
+    };
+    (response, targets.removals_after(request.after))
 }
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -3,6 +3,7 @@
 mod backlog;
 mod backoff;
 mod cold;
+mod coverage;
 mod domains;
 mod downtime;
 mod entry;
@@ -19,6 +20,7 @@
 
 pub use backoff::{BackoffSettings, TargetBackoffs};
 pub use cold::ColdTargets;
+pub use coverage::RemovalNotice;
 pub use downtime::DowntimeNotice;
 pub use entry::{TargetEntry, TargetState};
 pub use evacuation::{DomainChange, DomainListing, DomainRecord, DomainReturn};
--- a/crates/target/src/outage.rs
+++ b/crates/target/src/outage.rs
@@ -35,6 +35,9 @@
     is_restored: bool,
     /// When the source responded again after an outage in which entries may have expired.
     recovered_at: Option<Millis>,
+    /// The same of an outage that a response to a peer ended: the peer may have started since, and
+    /// not know of it.
+    peer_recovered_at: Option<Millis>,
 }
 
 impl SourceOutage {
@@ -49,12 +52,10 @@
 
     /// Records a response; returns whether entries may have expired before it.
     pub(crate) fn record_response(&mut self, settings: &OutageSettings, now: Millis) -> bool {
-        let is_restored = std::mem::take(&mut self.is_restored);
-        let lost_at = self.lost_at.take();
-        let responded_at = self.responded_at.replace(now);
-        let Some(lost_at) = lost_at else { return false };
-        let outage_ms = now.saturating_sub(responded_at.unwrap_or(lost_at));
-        let may_have_expired = is_restored || outage_ms >= settings.min_outage_ms;
+        let may_have_expired = self.may_have_expired(settings, now);
+        self.is_restored = false;
+        self.lost_at = None;
+        self.responded_at = Some(now);
         if may_have_expired {
             self.recovered_at = Some(now);
         }
@@ -62,13 +63,35 @@
     }
 
     /// Records that the source responded to a peer `age` milliseconds ago.
-    pub(crate) fn record_peer_response(&mut self, age: Millis, now: Millis) {
+    pub(crate) fn record_peer_response(
+        &mut self,
+        settings: &OutageSettings,
+        age: Millis,
+        now: Millis,
+    ) {
         let responded_at = now.saturating_sub(age);
+        if self.may_have_expired(settings, responded_at) {
+            self.peer_recovered_at = Some(responded_at);
+        }
         self.responded_at = self.responded_at.max(Some(responded_at));
         self.lost_at = None;
         self.is_restored = false;
     }
 
+    /// Whether entries may have expired in the outage that a response at `now` would end.
+    fn may_have_expired(&self, settings: &OutageSettings, now: Millis) -> bool {
+        let Some(lost_at) = self.lost_at else { return false };
+        let outage_ms = now.saturating_sub(self.responded_at.unwrap_or(lost_at));
+        self.is_restored || outage_ms >= settings.min_outage_ms
+    }
+
+    /// Records that a peer read at `now` that entries are missing. If this router could not read the
+    /// source before, it has recovered, whatever the peer knows of that.
+    pub(crate) fn record_missing(&mut self, settings: &OutageSettings, now: Millis) {
+        let ends_now = self.may_have_expired(settings, now).then_some(now);
+        self.recovered_at = self.recovered_at.max(self.peer_recovered_at).max(ends_now);
+    }
+
     /// Records that a peer saw the source recover `age` milliseconds ago.
     pub(crate) fn record_peer_recovery(&mut self, age: Millis, now: Millis) {
         self.recovered_at = self.recovered_at.max(Some(now.saturating_sub(age)));
--- a/crates/target/src/registry.rs
+++ b/crates/target/src/registry.rs
@@ -6,13 +6,14 @@
 //! incarnation that was once known to leave stays so, whatever later records say. Entries that expired in an outage of the source are used until their
 //! targets have had time to publish them again, and never after that.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use base::{Millis, Name};
 use serde::{Deserialize, Serialize};
 
 use crate::backoff::TargetBackoffs;
+use crate::coverage::SourceCoverage;
 use crate::entry::{TargetEntry, TargetState};
 use crate::evacuation::{EvacuatedDomains, HOLD_MS as DOMAIN_HOLD_MS, READ_MS};
 use crate::leaving::{LeavingOrigin, LeavingTarget, LeavingTargets};
@@ -61,9 +62,9 @@
 }
 
 #[derive(Clone, Debug)]
-struct StoredRecord {
+pub(crate) struct StoredRecord {
     entry: Option<Arc<TargetEntry>>,
-    revision: u64,
+    pub(crate) revision: u64,
     /// The entry was removed, but is used until this time. It is never used again after
     /// that, whatever becomes of the source.
     expires_at: Option<Millis>,
@@ -74,11 +75,19 @@
     is_rewritten: bool,
 }
 
+impl StoredRecord {
+    /// Whether the source has the entry, as far as is known.
+    pub(crate) fn is_published(&self) -> bool {
+        self.entry.is_some() && self.expires_at.is_none()
+    }
+}
+
 /// All targets that this process knows.
 #[derive(Debug, Default)]
 pub struct TargetRegistry {
-    settings: RegistrySettings,
-    records: BTreeMap<Name, StoredRecord>,
+    pub(crate) settings: RegistrySettings,
+    pub(crate) records: BTreeMap<Name, StoredRecord>,
+    pub(crate) coverage: SourceCoverage,
     leaving: LeavingTargets,
     backoffs: TargetBackoffs,
     pub(crate) outage: SourceOutage,
@@ -151,7 +160,7 @@
     /// Records that the source responded to a peer `age` milliseconds ago. It is then
     /// available, even if this router does not reach it.
     pub fn record_source_read_by_peer(&mut self, age: Millis, now: Millis) {
-        self.outage.record_peer_response(age, now);
+        self.outage.record_peer_response(&self.settings.outage, age, now);
     }
 
     /// Returns the milliseconds since the source recovered; `None` once targets
@@ -231,30 +240,6 @@
         true
     }
 
-    /// Merges a complete listing of the source at `revision`. Entries that are
-    /// missing in it were removed.
-    pub fn merge_listing(
-        &mut self,
-        records: Vec<TargetRecord>,
-        revision: u64,
-        now: Millis,
-    ) -> Vec<(Name, RecordChange)> {
-        let listed: BTreeSet<Name> = records.iter().map(|record| Name::clone(&record.id)).collect();
-        let missing: Vec<Name> = self
-            .records
-            .iter()
-            .filter(|(id, record)| !listed.contains(*id) && record.revision < revision)
-            .filter(|(_, record)| record.entry.is_some() && record.expires_at.is_none())
-            .map(|(id, _)| Name::clone(id))
-            .collect();
-        let removed = missing.into_iter().map(|id| TargetRecord { id, entry: None, revision });
-        records
-            .into_iter()
-            .chain(removed)
-            .map(|record| (Name::clone(&record.id), self.merge(record, now)))
-            .collect()
-    }
-
     fn remove(
         &mut self,
         id: Name,
@@ -288,10 +273,12 @@
         if tombstones.clone().count() <= self.settings.max_tombstones {
             return;
         }
-        let oldest =
-            tombstones.min_by_key(|(_, record)| record.revision).map(|(id, _)| Name::clone(id));
-        if let Some(id) = oldest {
+        let oldest = tombstones.min_by_key(|(_, record)| record.revision);
+        let oldest = oldest.map(|(id, record)| (Name::clone(id), record.revision));
+        if let Some((id, revision)) = oldest {
             self.records.remove(&id);
+            let coverage = &mut self.coverage;
+            coverage.removals_since = coverage.removals_since.max(revision);
         }
     }
 
--- a/crates/target/tests/registry.rs
+++ b/crates/target/tests/registry.rs
@@ -7,8 +7,8 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use target::{
-    ERA_REVISIONS, RecordChange, RegistrySettings, TargetEntry, TargetRecord, TargetRegistry,
-    TargetState,
+    ERA_REVISIONS, RecordChange, RegistrySettings, RemovalNotice, TargetEntry, TargetRecord,
+    TargetRegistry, TargetState,
 };
 
 fn written(id: &str, revision: u64, state: TargetState) -> TargetRecord {
@@ -321,3 +321,25 @@
     registry.merge(in_era(1, of_incarnation(3, 2, TargetState::Serving)), now);
     assert!(serves(&registry, "a", now), "it has started again");
 }
+
+/// Guards against sound targets that are all dropped (LOST): their entries expired in an outage of the
+/// source, and a peer that started after it says that they are missing.
+#[test]
+fn entries_that_a_new_peer_misses_after_an_outage_are_kept_until_republication() {
+    for (was_lost, follows_first) in [(true, true), (true, false), (false, false)] {
+        let mut registry = TargetRegistry::new(RegistrySettings::default());
+        registry.record_source_reached(0);
+        registry.merge_listing(vec![written("a", 1, TargetState::Serving)], 2, 0);
+        if was_lost {
+            registry.record_source_lost(100);
+        }
+        if follows_first {
+            registry.record_source_read_by_peer(0, 10_000);
+        }
+        let removals = RemovalNotice { since: 9, present: Some(Vec::new()) };
+        registry.merge_peer_changes(Vec::new(), 9, Some(removals), 10_000);
+        assert_eq!(serves(&registry, "a", 10_000), was_lost, "follows first: {follows_first}");
+        registry.record_source_read_by_peer(0, 12_000);
+        assert!(!serves(&registry, "a", 12_000));
+    }
+}
