gateway: peers that could not be asked after a start are asked later

What callers would see: requests at targets that left before a restored store's copy, or that are cold, from an instance that has just started. Cause: an instance that starts asks the first three peers that it finds for all they know. Fetches wait in a queue of one. A peer that was found while the queue was full was not asked, and only peers found later were asked instead. Change: such a peer counts like one that did not answer: the next one that is heard after 500 ms is asked. Evidence: peers_that_could_not_be_asked_are_asked_later; with postpone doing nothing, as before, it fails ("a peer that is heard later"). No test with real processes: on loopback the queue is empty within a millisecond.

--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -49,16 +49,19 @@
     }
 }
 
-/// Queues a fetch, unless one is pending already.
+/// Queues a fetch, unless one is pending already. If a peer is to be asked all the same, that is
+/// tried again.
 pub(crate) fn queue_fetch(
     context: &GatewayContext,
     fetch: PeerFetch,
     fetch_sender: &mpsc::Sender<PeerFetch>,
 ) {
-    if fetch_sender.try_send(fetch).is_ok()
-        && let Some(mut quota) = quota(context, fetch.purpose)
-    {
+    let is_queued = fetch_sender.try_send(fetch).is_ok();
+    let Some(mut quota) = quota(context, fetch.purpose) else { return };
+    if is_queued {
         quota.begin();
+    } else {
+        quota.postpone(context.now());
     }
 }
 
--- a/crates/mesh/src/quota.rs
+++ b/crates/mesh/src/quota.rs
@@ -2,7 +2,7 @@
 
 use base::Millis;
 
-/// Time in milliseconds after a request without an answer in which none is repeated.
+/// Time in milliseconds after a request that was not sent or had no answer in which none is repeated.
 const RETRY_MS: Millis = 500;
 
 /// How many peers are still to be asked. One that does not answer does not count, and another one
@@ -11,7 +11,7 @@
 pub struct FetchQuota {
     /// Peers still to be asked. Those that were asked and have not answered yet are not counted.
     remaining: usize,
-    /// Requests without an answer that were not repeated yet. At most `remaining`.
+    /// Requests that were not sent or had no answer, and were not repeated yet. At most `remaining`.
     failed: usize,
     /// Whether other peers than those that were found just now are asked, without a failure, too.
     asks_any: bool,
@@ -42,6 +42,12 @@
         self.failed = self.failed.saturating_sub(1);
     }
 
+    /// Records that a peer that was to be asked was not, as other requests wait.
+    pub fn postpone(&mut self, now: Millis) {
+        self.failed = (self.failed + 1).min(self.remaining);
+        self.retry_at = now.saturating_add(RETRY_MS);
+    }
+
     /// Records that a peer that was asked has not answered.
     pub fn record_failure(&mut self, now: Millis) {
         self.remaining += 1;
--- a/crates/mesh/tests/quota.rs
+++ b/crates/mesh/tests/quota.rs
@@ -22,3 +22,17 @@
         assert!(!quota.allows(true, 9_000), "all have answered");
     }
 }
+
+/// Guards against an instance that asks fewer peers than it should after its start (FAILBACK, DRAIN), as
+/// they were found while other requests waited.
+#[test]
+fn peers_that_could_not_be_asked_are_asked_later() {
+    let mut quota = FetchQuota::of_found(2);
+    quota.begin();
+    quota.postpone(1_000);
+    quota.postpone(1_000);
+    assert!(!quota.allows(false, 1_200), "without a pause");
+    assert!(quota.allows(false, 1_500), "a peer that is heard later");
+    quota.begin();
+    assert!(!quota.allows(false, 9_000), "all are asked");
+}
