gateway: a holder counts as told once its message was sent (LOST)

What callers would see: a stream that is refused when it is taken up, as no holder knows what began it. Cause: tell_holders marked holders as told before the datagram was sent. If the socket took none (its buffer was full, say), only a debug line said so, and the holder was never told. Datagrams that are lost on their way are as before. Evidence: holder_counts_as_told_once_its_message_was_sent; with holders marked whatever became of the message, as before, it fails ("assertion failed: told.is_pending()").

--- a/crates/gateway/src/offers.rs
+++ b/crates/gateway/src/offers.rs
@@ -192,7 +192,9 @@
 ) {
     match owner {
         None => context.offers.state().owner.place(notice, now),
-        Some(owner) => context.permits.send(owner, &PeerMessage::PlacementNotice(*notice)),
+        Some(owner) => {
+            context.permits.send(owner, &PeerMessage::PlacementNotice(*notice));
+        }
     }
 }
 
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -46,11 +46,14 @@
         self.waiters.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub(crate) fn send(&self, receiver: SocketAddr, message: &PeerMessage) {
-        let Some(socket) = self.socket.get() else { return };
-        if let Err(cause) = socket.try_send_to(&encode_peer_message(message), receiver) {
+    /// Sends a message; returns whether it was handed to the system.
+    pub(crate) fn send(&self, receiver: SocketAddr, message: &PeerMessage) -> bool {
+        let Some(socket) = self.socket.get() else { return false };
+        let sent = socket.try_send_to(&encode_peer_message(message), receiver);
+        if let Err(cause) = &sent {
             tracing::debug!(unit = "limits", event = "not_sent", peer = %receiver, %cause);
         }
+        sent.is_ok()
     }
 }
 
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -12,7 +12,7 @@
 use mesh::MemberView;
 use resume::{
     HolderPeer, LookupVerdict, ResumeDecision, StreamHolder, StreamKey, StreamLookup, StreamOrigin,
-    StreamRecord,
+    StreamRecord, ToldHolders,
 };
 use slotmap::SlotMap;
 use tokio::sync::oneshot;
@@ -47,8 +47,7 @@
 #[derive(Debug)]
 struct OpenStream {
     record: StreamRecord,
-    /// Holders that were told of it.
-    told: Vec<StreamHolder>,
+    told: ToldHolders,
 }
 
 /// Counts a stream as open until the guard is dropped.
@@ -69,7 +68,8 @@
             resumes.record(&record, now);
             resumes.must_tell(&record.origin.service, view_age, now)
         };
-        let key = context.open_streams().0.insert(OpenStream { record, told: Vec::new() });
+        let key =
+            context.open_streams().0.insert(OpenStream { record, told: ToldHolders::default() });
         if must_tell {
             tell_holders(context, &[key]);
         }
@@ -95,29 +95,44 @@
         let resumes = context.resumes();
         records.iter().map(|(_, record)| resumes.holders(record.key)).collect()
     };
-    let mut by_holder: BTreeMap<SocketAddr, Vec<StreamRecord>> = BTreeMap::new();
+    let mut by_holder: BTreeMap<StreamHolder, Vec<(OpenStreamKey, StreamRecord)>> = BTreeMap::new();
     {
         let mut streams = context.open_streams();
         for ((key, record), holders) in records.iter().zip(holders) {
             let Some(stream) = streams.0.get_mut(*key) else { continue };
-            for holder in holders {
-                if !stream.told.contains(&holder) {
-                    stream.told.push(holder);
-                    by_holder.entry(holder.address).or_default().push(record.clone());
-                }
+            for holder in stream.told.begin(holders) {
+                by_holder.entry(holder).or_default().push((*key, record.clone()));
             }
         }
     }
     let mut sent = 0;
     for (holder, records) in by_holder {
-        for records in records.chunks(MAX_RECORDS) {
-            context.permits.send(holder, &PeerMessage::StreamsBegan(records.to_vec()));
-            sent += 1;
+        for part in records.chunks(MAX_RECORDS) {
+            let records = part.iter().map(|(_, record)| record.clone()).collect();
+            let message = PeerMessage::StreamsBegan(records);
+            let is_sent = context.permits.send(holder.address, &message);
+            sent += usize::from(is_sent);
+            let mut streams = context.open_streams();
+            for (key, _) in part {
+                if let Some(stream) = streams.0.get_mut(*key) {
+                    stream.told.record(holder, is_sent);
+                }
+            }
         }
     }
     sent
 }
 
+/// Tells holders again to which a message could not be sent.
+fn tell_pending(context: &GatewayContext) {
+    let pending: Vec<OpenStreamKey> = {
+        let streams = context.open_streams();
+        let pending = streams.0.iter().filter(|(_, open)| open.told.is_pending());
+        pending.map(|(key, _)| key).collect()
+    };
+    tell_holders(context, &pending);
+}
+
 /// Returns the open streams of some services.
 fn open_streams_of(context: &GatewayContext, services: &[Name]) -> Vec<OpenStreamKey> {
     let streams = context.open_streams();
@@ -193,6 +208,7 @@
     while !context.shutdown.is_cancelled() {
         tell_newly_uncertain(&context);
         tell_new_holders(&context);
+        tell_pending(&context);
         context.metrics.gauge("remembered_streams", context.resumes().record_count() as u64).ok();
         tokio::time::sleep(WATCH_PERIOD).await;
     }
--- a/crates/resume/src/holders.rs
+++ b/crates/resume/src/holders.rs
@@ -16,6 +16,37 @@
     incarnation: u64,
 }
 
+/// The holders that were told of one stream.
+///
+/// Invariant: a holder counts as told only once a message to it was handed to the system, and the
+/// stream is pending while one to any holder was not.
+#[derive(Clone, Debug, Default)]
+pub struct ToldHolders {
+    told: Vec<StreamHolder>,
+    is_pending: bool,
+}
+
+impl ToldHolders {
+    /// Returns which of the holders are to be told, which is tried now.
+    pub fn begin(&mut self, holders: Vec<StreamHolder>) -> Vec<StreamHolder> {
+        self.is_pending = false;
+        holders.into_iter().filter(|holder| !self.told.contains(holder)).collect()
+    }
+
+    /// Records whether the message to a holder was sent.
+    pub fn record(&mut self, holder: StreamHolder, is_sent: bool) {
+        self.is_pending |= !is_sent;
+        if is_sent && !self.told.contains(&holder) {
+            self.told.push(holder);
+        }
+    }
+
+    /// Whether a holder is to be told again.
+    pub fn is_pending(&self) -> bool {
+        self.is_pending
+    }
+}
+
 /// A live router that may be a holder.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct HolderPeer {
--- a/crates/resume/src/lib.rs
+++ b/crates/resume/src/lib.rs
@@ -36,7 +36,7 @@
 mod signed;
 
 pub use history::{VersionHistory, VersionNotice};
-pub use holders::{HolderPeer, StreamHolder, choose_holders};
+pub use holders::{HolderPeer, StreamHolder, ToldHolders, choose_holders};
 pub use lookup::{HolderAnswer, LookupVerdict, StreamLookup};
 pub use moves::MoveNotice;
 pub use policy::{ResumeDecision, ResumePolicy};
--- a/crates/resume/tests/policy.rs
+++ b/crates/resume/tests/policy.rs
@@ -6,7 +6,7 @@
 use base::Name;
 use resume::{
     HolderAnswer, HolderPeer, ResumeDecision, ResumePolicy, ResumeSettings, StreamKey,
-    StreamOrigin, StreamRecord, choose_holders,
+    StreamOrigin, StreamRecord, ToldHolders, choose_holders,
 };
 
 const SERVICE: &str = "model";
@@ -185,3 +185,22 @@
     assert_eq!(choose_holders(StreamKey::new(None, "r"), &peers[..2], 3).len(), 2);
     assert!(choose_holders(StreamKey::new(None, "r"), &[], 3).is_empty());
 }
+
+/// Guards against a stream whose origin no holder knows (LOST, ORDER), as the message about it was not
+/// sent and its holder counted as told.
+#[test]
+fn holder_counts_as_told_once_its_message_was_sent() {
+    let peers = [1, 2].map(|port| {
+        HolderPeer::new(&format!("r{port}"), "a".into(), ([127, 0, 0, 1], port).into(), 1)
+    });
+    let holders = choose_holders(StreamKey::new(None, "stream"), &peers, 2);
+    let mut told = ToldHolders::default();
+    assert_eq!(told.begin(holders.clone()), holders);
+    told.record(holders[0], false);
+    told.record(holders[1], true);
+    assert!(told.is_pending());
+    assert_eq!(told.begin(holders.clone()), [holders[0]]);
+    told.record(holders[0], true);
+    assert!(!told.is_pending());
+    assert!(told.begin(holders).is_empty());
+}
