--- a/crates/admit/src/closing.rs
+++ b/crates/admit/src/closing.rs
@@ -12,7 +12,8 @@
 pub struct OpenCounts {
     /// Requests that were read and whose answers are not written.
     pub requests: usize,
-    /// Connections with bytes that are not written, or with a whole request that is not read.
+    /// Connections with bytes that are not written, or with a request or a part of one that is not
+    /// answered.
     pub connections: usize,
 }
 
--- a/crates/bench/tests/processes/stop.rs
+++ b/crates/bench/tests/processes/stop.rs
@@ -194,3 +194,14 @@
         check_exit(&mut fleet)
     });
 }
+
+/// The same for a request whose head still arrives.
+#[test]
+fn request_whose_head_arrives_beside_a_stop_is_refused() {
+    with_fleet(1, |mut fleet, _caller| async move {
+        let request = plain_request(ACCOUNT, IDEMPOTENT_PATH, "1.0");
+        let answer = send_in_parts(&fleet, &String::from_utf8(request)?)?;
+        assert!(answer.contains("\"code\":\"draining\",\"ran\":\"no\""), "{answer:?}");
+        check_exit(&mut fleet)
+    });
+}
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use base::PrometheusSink;
+use inbound::HEAD_TIMEOUT;
 use ntex::SharedCfg;
 use ntex::http::{HttpService, HttpServiceConfig, Request, Response};
 use ntex::io::IoConfig;
@@ -27,8 +28,6 @@
 use crate::settings::GatewaySettings;
 use crate::signals::ProcessSignals;
 
-/// Time that a caller may take to send the head of its request.
-const HEAD_TIMEOUT: Seconds = Seconds(5);
 /// Time after which an idle connection of a caller is closed: longer than any
 /// caller keeps one for reuse.
 const CALLER_KEEP_ALIVE: Seconds = Seconds(75);
--- a/crates/inbound/src/connections.rs
+++ b/crates/inbound/src/connections.rs
@@ -32,14 +32,14 @@
 /// Longest time for which a connection that is being closed may write. What it writes has a
 /// deadline, at which [`CallerConnections::terminate_overdue`] ends it.
 pub const DISCONNECT_TIMEOUT: Seconds = Seconds(u16::MAX);
+/// Time that a caller may take to send the head of its request; far below the time after which an
+/// idle connection is closed.
+pub const HEAD_TIMEOUT: Seconds = Seconds(5);
 
 /// Lateness of the thread in milliseconds from which on no idle connection is closed, as
 /// requests on them may have arrived and wait to be read.
 const MAX_LATENESS_MS: Millis = 50;
 
-/// End of the head of a request.
-const HEAD_END: &[u8] = b"\r\n\r\n";
-
 /// Identifies a request on this thread.
 type RequestNumber = u64;
 
@@ -249,16 +249,16 @@
     }
 
     /// Returns the number of connections with bytes that are not written, or with a request that
-    /// is being read or answered, or whose whole head has been read.
+    /// is being read or answered, be it that only a part of its head has come.
     pub fn unfinished_connections(&self) -> usize {
         let entries = self.entries.borrow();
         let is_unfinished = |(io, entry): &(&IoRef, &ConnectionEntry)| {
-            let is_busy = matches!(entry.state, ConnectionState::Busy(_));
-            let is_closing = entry.state == ConnectionState::Closing;
-            let has_head = || {
-                io.with_read_buf(|bytes| bytes.windows(HEAD_END.len()).any(|end| end == HEAD_END))
+            let has_request = match entry.state {
+                ConnectionState::Busy(_) => true,
+                ConnectionState::Idle { .. } | ConnectionState::Writing(_) => awaits_head(io),
+                ConnectionState::Closing => false,
             };
-            !io.is_closed() && (unwritten_bytes(io) > 0 || is_busy || !is_closing && has_head())
+            !io.is_closed() && (has_request || unwritten_bytes(io) > 0)
         };
         entries.iter().filter(is_unfinished).count()
     }
@@ -320,6 +320,15 @@
     }
 }
 
+/// Whether a connection without a request in progress has a part of a head, or has just been
+/// opened. Lines of a head leave the buffer one by one, and the timer of the head tells that some
+/// came. The timer of an idle connection is taken for it in its last seconds.
+fn awaits_head(io: &IoRef) -> bool {
+    let timer = io.timer_handle();
+    let is_in_time = timer.is_set() && timer.remains() <= HEAD_TIMEOUT;
+    is_in_time || io.with_read_buf(|bytes| !bytes.is_empty())
+}
+
 impl BusyConnection {
     /// Begins a request; `None` if this router has closed the connection.
     pub fn begin(
--- a/crates/inbound/src/lib.rs
+++ b/crates/inbound/src/lib.rs
@@ -10,5 +10,5 @@
 
 pub use accept::{AcceptedConnection, ConnectionGate, MAX_HANDED_OVER, accept, listen, serve};
 pub use answers::{AnswerEnd, HandedAnswer, unwritten_bytes};
-pub use connections::{BusyConnection, CallerConnections, DISCONNECT_TIMEOUT};
+pub use connections::{BusyConnection, CallerConnections, DISCONNECT_TIMEOUT, HEAD_TIMEOUT};
 pub use counting::{CountQuestions, OpenCounter};
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -7,6 +7,7 @@
 use admit::{StopCycle, StopPlan, StopSettings, StopStep};
 use base::Millis;
 use bpaf::{Parser, construct, long};
+use inbound::HEAD_TIMEOUT;
 use ntex::SharedCfg;
 use ntex::http::HttpServiceConfig;
 use ntex::io::IoConfig;
@@ -31,8 +32,6 @@
 /// Minimum duration of a drain, in milliseconds. The router answers requests
 /// with refusals meanwhile, so that peers and callers learn of the drain.
 const DRAIN_NOTICE_MS: Millis = 1_000;
-/// Time within which a caller must send the headers of a request, in seconds.
-const HEADER_TIMEOUT: Seconds = Seconds(5);
 
 struct RouterArgs {
     settings: PathBuf,
@@ -149,7 +148,7 @@
 
 pub(crate) fn http_config(settings: &RouterSettings) -> SharedCfg {
     let config = HttpServiceConfig::new()
-        .set_headers_read_rate(HEADER_TIMEOUT, HEADER_TIMEOUT, 1_024)
+        .set_headers_read_rate(HEAD_TIMEOUT, HEAD_TIMEOUT, 1_024)
         .set_keepalive(Seconds(30));
     // A connection that closes after its answer waits as long for its caller as any other.
     let unread = Seconds(settings.unread_s.try_into().unwrap_or(u16::MAX));
