stop: who has connected is answered, and nobody connects after that

By reading: connections that waited to be accepted, or to be served, were reset at the exit. Cause: a router refused all only once nothing at all was open, which refusals to such callers prevent, and its port stayed open until the process was gone. Ruled out: closing the port at the end of the notice, as short requests are served after it while others keep the router. Change: it refuses all once no accepted request is open. Then it accepts what has connected, closes the port, counts connections that are accepted and not yet served, and exits once nothing is open.

--- a/crates/admit/src/closing.rs
+++ b/crates/admit/src/closing.rs
@@ -18,7 +18,8 @@
 }
 
 impl OpenCounts {
-    fn is_empty(self) -> bool {
+    /// Whether nothing is open.
+    pub fn is_empty(self) -> bool {
         self.requests == 0 && self.connections == 0
     }
 }
@@ -28,7 +29,7 @@
 pub enum StopStep {
     /// Counts again later.
     Wait,
-    /// Refuses all requests from now on, and counts again after that.
+    /// Refuses all requests from now on, lets nobody connect, and counts again after that.
     Close,
     /// Ends the process.
     Exit,
@@ -47,15 +48,25 @@
         Self { plan, is_closed: false }
     }
 
+    /// Whether the next step depends on what is open.
+    pub fn needs_counts(&self, now: Millis) -> bool {
+        self.plan.is_notice_over(now)
+    }
+
     /// Decides with what was counted after the step before was taken, by the thread that reads and
     /// writes, so that nothing comes between.
     pub fn step(&mut self, now: Millis, open: OpenCounts) -> StopStep {
         if self.plan.exit_in_ms(now) == 0 {
             return StopStep::Exit;
         }
-        if !self.plan.is_notice_over(now) || !open.is_empty() {
+        if !self.plan.is_notice_over(now) {
             return StopStep::Wait;
         }
-        if std::mem::replace(&mut self.is_closed, true) { StopStep::Exit } else { StopStep::Close }
+        // Callers that go on sending are refused all the time, which must not keep the router.
+        if !self.is_closed && open.requests == 0 {
+            self.is_closed = true;
+            return StopStep::Close;
+        }
+        if self.is_closed && open.is_empty() { StopStep::Exit } else { StopStep::Wait }
     }
 }
--- a/crates/gateway/src/accept.rs
+++ b/crates/gateway/src/accept.rs
@@ -36,6 +36,10 @@
         OpenConnection::new(self)
     }
 
+    fn open_connections(&self) -> usize {
+        GatewayContext::open_connections(self)
+    }
+
     fn open_requests(&self) -> usize {
         self.open_calls()
     }
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -20,8 +20,6 @@
 const REPORT_POLL_PERIOD: Duration = Duration::from_millis(5);
 /// Least time between two lines on the progress of a drain, in milliseconds.
 const PROGRESS_PERIOD_MS: Millis = 1_000;
-/// Time between two checks for open requests during a drain.
-const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(50);
 
 /// Drains the router. It is withdrawn from address responses and reports that it is not ready,
 /// but still serves requests until callers have had time to move to other routers. After that
@@ -58,9 +56,9 @@
             }
             is_notice_over = true;
         }
-        let open = context.open.counter.count(DRAIN_POLL_PERIOD).await;
-        match cycle.step(context.now(), open) {
-            StopStep::Wait => tokio::time::sleep(DRAIN_POLL_PERIOD).await,
+        let (step, _) = context.open.counter.step(&mut cycle, &context.clock).await;
+        match step {
+            StopStep::Wait => {}
             StopStep::Close => {
                 context.close();
                 let after_ms = context.now().saturating_sub(unsignalled_at);
--- a/crates/inbound/src/accept.rs
+++ b/crates/inbound/src/accept.rs
@@ -45,6 +45,9 @@
 
     fn open(self: &Arc<Self>) -> Self::Guard;
 
+    /// Returns the number of connections that count as open.
+    fn open_connections(&self) -> usize;
+
     /// Returns the number of requests that count as open.
     fn open_requests(&self) -> usize;
 
@@ -78,13 +81,18 @@
     listener: TcpListener,
     sender: mpsc::Sender<AcceptedConnection<G::Guard>>,
 ) {
+    let closing = gate.open_counter().closing();
     let mut accepted_at = gate.now();
-    while !gate.is_stopped() {
+    while !gate.is_stopped() && !closing.is_cancelled() {
         if !gate.may_accept(gate.now().saturating_sub(accepted_at)) {
             tokio::time::sleep(RECHECK_PAUSE).await;
             continue;
         }
-        let stream = match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = closing.cancelled() => break,
+        };
+        let stream = match accepted {
             Ok((stream, _)) => stream,
             Err(cause) => {
                 tracing::warn!(unit = "accept", event = "not_accepted", %cause);
@@ -93,12 +101,30 @@
             }
         };
         accepted_at = gate.now();
-        let guard = gate.open();
-        match stream.into_std() {
-            // The receiver is dropped only when the process stops.
-            Ok(stream) => drop(sender.send(AcceptedConnection { stream, guard }).await),
-            Err(cause) => tracing::warn!(unit = "accept", event = "not_served", %cause),
+        hand_over(&gate, stream.into_std(), &sender).await;
+    }
+    // Who has connected is answered; who connects from now on is refused by the system.
+    match listener.into_std() {
+        Ok(listener) => {
+            while let Ok((stream, _)) = listener.accept() {
+                hand_over(&gate, stream.set_nonblocking(true).map(|()| stream), &sender).await;
+            }
         }
+        Err(cause) => tracing::warn!(unit = "accept", event = "not_accepted", %cause),
+    }
+    gate.open_counter().record_closed();
+}
+
+async fn hand_over<G: ConnectionGate>(
+    gate: &Arc<G>,
+    stream: io::Result<TcpStream>,
+    sender: &mpsc::Sender<AcceptedConnection<G::Guard>>,
+) {
+    let guard = gate.open();
+    match stream {
+        // The receiver is dropped only when the process stops.
+        Ok(stream) => drop(sender.send(AcceptedConnection { stream, guard }).await),
+        Err(cause) => tracing::warn!(unit = "accept", event = "not_served", %cause),
     }
 }
 
--- a/crates/inbound/src/connections.rs
+++ b/crates/inbound/src/connections.rs
@@ -263,6 +263,11 @@
         entries.iter().filter(is_unfinished).count()
     }
 
+    /// Returns the number of connections that are being served.
+    pub(crate) fn served_connections(&self) -> usize {
+        self.entries.borrow().len()
+    }
+
     /// Returns the number of connections with bytes that are not written.
     pub fn unwritten_connections(&self) -> usize {
         let entries = self.entries.borrow();
--- a/crates/inbound/src/counting.rs
+++ b/crates/inbound/src/counting.rs
@@ -2,15 +2,24 @@
 //! a connection comes between.
 
 use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use admit::OpenCounts;
+use admit::{OpenCounts, StopCycle, StopStep};
+use base::MonoClock;
 use tokio::sync::{mpsc, oneshot};
+use tokio_util::sync::CancellationToken;
 
 use crate::accept::ConnectionGate;
 use crate::connections::CallerConnections;
 
+/// Time between two checks of a stop, and longest time in which the thread that serves callers has
+/// to answer.
+const CHECK_PERIOD: Duration = Duration::from_millis(50);
+/// What counts as open while it is not known.
+const UNKNOWN_COUNTS: OpenCounts = OpenCounts { requests: 1, connections: 0 };
+
 /// Takes what is open.
 type CountReply = oneshot::Sender<OpenCounts>;
 
@@ -18,6 +27,10 @@
 #[derive(Debug, Default)]
 pub struct OpenCounter {
     questions: OnceLock<mpsc::UnboundedSender<CountReply>>,
+    /// Cancelled when nobody may connect any more.
+    closing: CancellationToken,
+    /// Whether nobody can connect any more, and all who have are handed over.
+    is_closed: AtomicBool,
 }
 
 /// What the thread that serves callers is asked.
@@ -32,17 +45,46 @@
         CountQuestions(receiver)
     }
 
-    /// Returns what is open. A thread that does not answer within `timeout`, or has not begun to
-    /// serve, counts as a request.
-    pub async fn count(&self, timeout: Duration) -> OpenCounts {
-        let unknown = OpenCounts { requests: 1, connections: 0 };
+    /// Takes the next step of a stop, after a pause if it is to wait. Returns it with what was open.
+    pub async fn step(&self, cycle: &mut StopCycle, clock: &MonoClock) -> (StopStep, OpenCounts) {
+        let needs_counts = cycle.needs_counts(clock.now());
+        let open = if needs_counts { self.count_accepted().await } else { UNKNOWN_COUNTS };
+        let step = cycle.step(clock.now(), open);
+        match step {
+            StopStep::Wait => tokio::time::sleep(CHECK_PERIOD).await,
+            StopStep::Close => self.closing.cancel(),
+            StopStep::Exit => {}
+        }
+        (step, open)
+    }
+
+    pub(crate) fn closing(&self) -> CancellationToken {
+        self.closing.clone()
+    }
+
+    pub(crate) fn record_closed(&self) {
+        self.is_closed.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns what is open on the thread that serves callers. One that does not answer in time, or
+    /// has not begun to serve, counts as a request.
+    async fn count(&self) -> OpenCounts {
         let (sender, receiver) = oneshot::channel();
         let asked = self.questions.get().is_some_and(|questions| questions.send(sender).is_ok());
         if !asked {
-            return unknown;
+            return UNKNOWN_COUNTS;
         }
-        let counted = tokio::time::timeout(timeout, receiver).await;
-        counted.ok().and_then(Result::ok).unwrap_or(unknown)
+        let counted = tokio::time::timeout(CHECK_PERIOD, receiver).await;
+        counted.ok().and_then(Result::ok).unwrap_or(UNKNOWN_COUNTS)
+    }
+
+    /// Like [`Self::count`]; connections that wait to be accepted are handed over first, once nobody
+    /// may connect any more.
+    async fn count_accepted(&self) -> OpenCounts {
+        let is_handed_over = self.is_closed.load(Ordering::SeqCst) || !self.closing.is_cancelled();
+        let counted = self.count().await;
+        let waiting = usize::from(!is_handed_over);
+        OpenCounts { connections: counted.connections + waiting, ..counted }
     }
 }
 
@@ -55,7 +97,8 @@
     while let Some(reply) = questions.0.recv().await {
         // Requests that were read in this turn of the thread begin.
         tokio::task::yield_now().await;
-        let connections = connections.unfinished_connections();
+        let handed_over = gate.open_connections().saturating_sub(connections.served_connections());
+        let connections = connections.unfinished_connections() + handed_over;
         // A stop that does not wait any more asks again.
         let _ = reply.send(OpenCounts { requests: gate.open_requests(), connections });
     }
--- a/crates/router/src/accept.rs
+++ b/crates/router/src/accept.rs
@@ -46,6 +46,10 @@
         OpenConnection::new(self)
     }
 
+    fn open_connections(&self) -> usize {
+        RouterContext::open_connections(self)
+    }
+
     fn open_requests(&self) -> usize {
         self.core().open_requests
     }
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -2,9 +2,8 @@
 
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::Duration;
 
-use admit::{StopCycle, StopPlan, StopSettings, StopStep};
+use admit::{OpenCounts, StopCycle, StopPlan, StopSettings, StopStep};
 use base::Millis;
 use bpaf::{Parser, construct, long};
 use inbound::HEAD_TIMEOUT;
@@ -27,8 +26,6 @@
 use crate::signals::StopSignals;
 use crate::watch::run_document_watch;
 
-/// Interval at which a drain checks for what is open.
-const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(50);
 /// Minimum duration of a drain, in milliseconds. The router answers requests
 /// with refusals meanwhile, so that peers and callers learn of the drain.
 const DRAIN_NOTICE_MS: Millis = 1_000;
@@ -122,27 +119,25 @@
     }
     context.heartbeat_due.notify_one();
     let mut cycle = StopCycle::new(plan);
-    let mut open;
-    loop {
-        open = context.open_counter.count(DRAIN_POLL_PERIOD).await;
-        match cycle.step(context.now(), open) {
-            StopStep::Wait => tokio::time::sleep(DRAIN_POLL_PERIOD).await,
-            // All requests are refused since the drain began.
-            StopStep::Close => {}
-            StopStep::Exit => break,
+    // All requests are refused since the drain began, so there is nothing to close.
+    let open = loop {
+        let (step, open) = context.open_counter.step(&mut cycle, &context.clock).await;
+        if step == StopStep::Exit {
+            break open;
         }
-    }
+    };
     if plan.exit_in_ms(context.now()) == 0 {
-        return log_unfinished_requests(context, "deadline", Some(open.connections));
+        return log_unfinished_requests(context, "deadline", Some(open));
     }
     let took_ms = context.now().saturating_sub(started_at);
     tracing::info!(unit = "run", event = "drained", took_ms);
 }
 
-/// Logs how many requests are still open when a drain ends early, and how many connections are not
-/// finished, if they were counted.
-fn log_unfinished_requests(context: &RouterContext, cause: &str, connections: Option<usize>) {
+/// Logs how many requests are still open when a drain ends early, and what else was, if it was
+/// counted.
+fn log_unfinished_requests(context: &RouterContext, cause: &str, open: Option<OpenCounts>) {
     let cut = context.core().open_requests;
+    let connections = open.map(|open| open.connections);
     tracing::warn!(unit = "run", event = "drain_ended", cause, cut, connections);
 }
 
