gateway: a foreign response on a new connection is a failure of its target

A target that answers no request with its id was never ejected: it fails at once, looks idle, and attracts requests that are lost. Cause: foreign responses say nothing of their targets, as they may be late ones to earlier requests. On a connection that carried none before, they can't be. Change: a connection knows whether it was used. A foreign response on a new one counts as a failure. Evidence: answers::target_that_sends_foreign_responses_only_is_ejected failed before ("timed out: a log line with ["unit=\"health\"", "event=\"set_aside\""]"); all 9 tests of answers pass.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -31,11 +31,13 @@
 }
 
 /// A response to another request, as a faulty target may send one. It says nothing of the request
-/// that was sent, which may have run, nor of its target. Its connection is closed, as further
-/// responses may be late too.
+/// that was sent, which may have run. Its connection is closed, as further responses may be late too.
 #[derive(Debug)]
 pub(crate) struct ForeignResponse {
     ids: Vec<String>,
+    /// Whether no request was sent on its connection before: it is then no late response to an
+    /// earlier one, and its target failed.
+    pub(crate) is_first: bool,
 }
 
 /// Sends the request of a caller to a target. The connection is closed unless the response is that
@@ -49,11 +51,12 @@
     mut connection: Connection,
     request: Request<Full<Bytes>>,
 ) -> Result<TargetResponse, ExchangeError> {
+    let is_first = !connection.is_used();
     let response = connection.exchange(request).await?;
     let ids = response_ids(format, response.headers());
     // Targets repeat the id; a request without one gets a response without one.
     if !ids.iter().map(String::as_str).eq(call.metadata.id.as_deref()) {
-        return Ok(TargetResponse::Foreign(ForeignResponse { ids }));
+        return Ok(TargetResponse::Foreign(ForeignResponse { ids, is_first }));
     }
     if response.status() == StatusCode::MISDIRECTED_REQUEST {
         return Ok(TargetResponse::Misdirected);
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -439,6 +439,9 @@
         }
         TargetResponse::Foreign(response) => {
             context.metrics.incr("foreign_responses").ok();
+            if response.is_first {
+                outstanding.finish(RequestOutcome::Failed);
+            }
             return AttemptEnd::ResponseLost(response.to_string());
         }
     };
--- a/crates/outbound/src/connection.rs
+++ b/crates/outbound/src/connection.rs
@@ -75,6 +75,8 @@
     pub peer: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     socket: SocketWatch,
+    /// Whether a request was sent, so that responses to earlier ones may still arrive.
+    is_used: bool,
 }
 
 /// Opens a connection to `peer`. Must be called within a `LocalSet`, which then
@@ -135,7 +137,7 @@
             tracing::trace!(unit = "outbound", event = "connection_ended", %peer, %cause);
         }
     });
-    Ok(Connection { peer, sender, socket })
+    Ok(Connection { peer, sender, socket, is_used: false })
 }
 
 fn set_options(stream: &TcpStream, receive_buffer: Option<usize>) -> std::io::Result<()> {
@@ -153,6 +155,11 @@
 }
 
 impl Connection {
+    /// Whether a request was sent on this connection.
+    pub fn is_used(&self) -> bool {
+        self.is_used
+    }
+
     /// Sends a request and waits for the response head. Dropping the future
     /// closes the connection.
     ///
@@ -167,6 +174,7 @@
         if let Err(cause) = self.sender.ready().await {
             return Err(ExchangeError::NotSent { step: "reuse", peer, cause: cause.to_string() });
         }
+        self.is_used = true;
         let excess = watch_interim_responses(&mut request);
         let result = tokio::select! {
             biased;
