stop: the exit waits for what only the system holds

What callers saw: nothing where the network of the machine outlives the process; the end of an answer is lost where it does not. The process exited as soon as the last byte was written to the socket, and requests in a socket that was not read yet were reset. Cause: nothing asked the system. Ruled out: SIOCOUTQ of each connection, as answers during a drain close theirs, and what is closed has no descriptor to ask. /proc/net/tcp was tried: it has a line for each connection that ended within a minute (0.07 and 0.12 s for 57,000 lines). Change: when nothing else is open, NETLINK_SOCK_DIAG tells the queues of the sockets with the router's address: connections that wait to be accepted, bytes that were not read or not acknowledged, also of closed connections. The exit waits for them until its time in the plan. Where the system does not tell, `queues_not_read` says so. `drained`, `draining` and `drain_ended` have `queued`.

--- a/crates/admit/src/closing.rs
+++ b/crates/admit/src/closing.rs
@@ -15,12 +15,14 @@
     /// Connections with bytes that are not written, or with a request or a part of one that is not
     /// answered.
     pub connections: usize,
+    /// Connections with bytes that only the system holds, and those that it has not handed over.
+    pub queued: usize,
 }
 
 impl OpenCounts {
     /// Whether nothing is open.
     pub fn is_empty(self) -> bool {
-        self.requests == 0 && self.connections == 0
+        self.requests == 0 && self.connections == 0 && self.queued == 0
     }
 }
 
--- a/crates/admit/tests/closing_machine.rs
+++ b/crates/admit/tests/closing_machine.rs
@@ -1,8 +1,8 @@
 //! Stateful property test of a stop beside a simple oracle of one connection thread: requests
-//! arrive, are read, answered and written in any order with the timer of the stop.
+//! arrive, are read, answered, written and taken in any order with the timer of the stop.
 //!
 //! Guards against a process that exits while something that was accepted, or a refusal, is not
-//! written (LOST), before its exit time.
+//! taken (LOST), before its exit time.
 
 use admit::{OpenCounts, StopCycle, StopPlan, StopSettings, StopStep};
 use proptest::prelude::*;
@@ -25,6 +25,8 @@
     HandOver,
     /// The socket takes all bytes of an answer.
     Write,
+    /// The caller takes all bytes of an answer.
+    Take,
     /// The timer of the stop runs.
     Check,
 }
@@ -39,12 +41,14 @@
     unwritten: usize,
     /// Those of them that are refusals: their requests no longer count as open.
     refusals: usize,
+    /// Answers and refusals that only the system holds.
+    queued: usize,
     is_closed: bool,
 }
 
 impl Oracle {
     fn owed(&self) -> usize {
-        self.arrived + self.running + self.unwritten
+        self.arrived + self.running + self.unwritten + self.queued
     }
 
     /// Requests that were accepted and whose answers are not written.
@@ -68,6 +72,7 @@
             3 => Just(Transition::Read),
             3 => Just(Transition::HandOver),
             3 => Just(Transition::Write),
+            3 => Just(Transition::Take),
             4 => Just(Transition::Check),
         ]
         .boxed()
@@ -78,6 +83,7 @@
             Transition::Read => state.arrived > 0,
             Transition::HandOver => state.running > 0,
             Transition::Write => state.unwritten > 0,
+            Transition::Take => state.queued > 0,
             _ => true,
         }
     }
@@ -103,7 +109,9 @@
             Transition::Write => {
                 state.unwritten -= 1;
                 state.refusals = state.refusals.min(state.unwritten);
+                state.queued += 1;
             }
+            Transition::Take => state.queued -= 1,
             Transition::Check => {
                 state.is_closed |= state.now > SETTINGS.notice_ms && state.accepted() == 0;
             }
@@ -131,8 +139,11 @@
         let Transition::Check = transition else { return stop };
         let Some(cycle) = &mut stop.cycle else { return stop };
         let exit_at = SETTINGS.kill_ms - SETTINGS.exit_margin_ms;
-        let requests = state.accepted();
-        let open = OpenCounts { requests, connections: state.arrived + state.unwritten };
+        let open = OpenCounts {
+            requests: state.accepted(),
+            connections: state.arrived + state.unwritten,
+            queued: state.queued,
+        };
         let step = cycle.step(state.now, open);
         match step {
             StopStep::Exit => {
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use admit::{StopCycle, StopPlan, StopSettings, StopStep};
+use admit::{OpenCounts, StopCycle, StopPlan, StopSettings, StopStep};
 use base::Millis;
 
 use crate::context::{GatewayContext, millis};
@@ -40,10 +40,11 @@
     let mut cycle = StopCycle::new(plan);
     let mut is_notice_over = false;
     let mut reported_at = context.now();
+    let mut open = OpenCounts::default();
     loop {
         if context.now() >= reported_at + PROGRESS_PERIOD_MS {
             reported_at = context.now();
-            log_progress(context, unsignalled_at);
+            log_progress(context, unsignalled_at, open.queued);
         }
         if plan.is_ended(context.now()) {
             context.ending.cancel();
@@ -56,7 +57,9 @@
             }
             is_notice_over = true;
         }
-        let (step, _) = context.open.counter.step(&mut cycle, &context.clock).await;
+        let listen = context.settings.listen.callers;
+        let step;
+        (step, open) = context.open.counter.step(&mut cycle, &context.clock, listen).await;
         match step {
             StopStep::Wait => {}
             StopStep::Close => {
@@ -68,10 +71,11 @@
         }
     }
     let took_ms = context.now().saturating_sub(unsignalled_at);
-    tracing::info!(unit = "run", event = "drained", took_ms, cut = context.open_calls());
+    let (cut, queued) = (context.open_calls(), open.queued);
+    tracing::info!(unit = "run", event = "drained", took_ms, cut, queued);
 }
 
-fn log_progress(context: &GatewayContext, unsignalled_at: Millis) {
+fn log_progress(context: &GatewayContext, unsignalled_at: Millis, queued: usize) {
     let now = context.now();
     let after_ms = now.saturating_sub(unsignalled_at);
     let oldest = context.open.oldest_call();
@@ -81,6 +85,7 @@
         after_ms,
         open = context.open_calls(),
         unwritten = context.open.unwritten_connections(),
+        queued,
         oldest = oldest.as_ref().map(|(request, _)| &**request),
         oldest_ms = oldest.as_ref().map(|(_, started_at)| now.saturating_sub(*started_at)),
     );
--- a/crates/inbound/src/counting.rs
+++ b/crates/inbound/src/counting.rs
@@ -1,6 +1,7 @@
 //! Counts what is open at a router that stops, on the thread that serves callers, so that no step of
 //! a connection comes between.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
@@ -13,12 +14,16 @@
 
 use crate::accept::ConnectionGate;
 use crate::connections::CallerConnections;
+use crate::queues::SocketQueues;
 
 /// Time between two checks of a stop, and longest time in which the thread that serves callers has
 /// to answer.
 const CHECK_PERIOD: Duration = Duration::from_millis(50);
+/// Time between two checks while only the system holds something.
+const QUEUED_CHECK_PERIOD: Duration = Duration::from_millis(100);
+
 /// What counts as open while it is not known.
-const UNKNOWN_COUNTS: OpenCounts = OpenCounts { requests: 1, connections: 0 };
+const UNKNOWN_COUNTS: OpenCounts = OpenCounts { requests: 1, connections: 0, queued: 0 };
 
 /// Takes what is open.
 type CountReply = oneshot::Sender<OpenCounts>;
@@ -45,12 +50,19 @@
         CountQuestions(receiver)
     }
 
-    /// Takes the next step of a stop, after a pause if it is to wait. Returns it with what was open.
-    pub async fn step(&self, cycle: &mut StopCycle, clock: &MonoClock) -> (StopStep, OpenCounts) {
+    /// Takes the next step of a stop of the router that listens on `listen`, after a pause if it is to
+    /// wait. Returns it with what was open.
+    pub async fn step(
+        &self,
+        cycle: &mut StopCycle,
+        clock: &MonoClock,
+        listen: SocketAddr,
+    ) -> (StopStep, OpenCounts) {
         let needs_counts = cycle.needs_counts(clock.now());
-        let open = if needs_counts { self.count_accepted().await } else { UNKNOWN_COUNTS };
+        let open = if needs_counts { self.count_queued(listen).await } else { UNKNOWN_COUNTS };
         let step = cycle.step(clock.now(), open);
         match step {
+            StopStep::Wait if open.queued > 0 => tokio::time::sleep(QUEUED_CHECK_PERIOD).await,
             StopStep::Wait => tokio::time::sleep(CHECK_PERIOD).await,
             StopStep::Close => self.closing.cancel(),
             StopStep::Exit => {}
@@ -78,13 +90,23 @@
         counted.ok().and_then(Result::ok).unwrap_or(UNKNOWN_COUNTS)
     }
 
-    /// Like [`Self::count`]; connections that wait to be accepted are handed over first, once nobody
-    /// may connect any more.
-    async fn count_accepted(&self) -> OpenCounts {
-        let is_handed_over = self.is_closed.load(Ordering::SeqCst) || !self.closing.is_cancelled();
+    /// Like [`Self::count`], with what only the system holds of connections to `listen` if nothing
+    /// else is open. What the system does not tell counts as nothing.
+    async fn count_queued(&self, listen: SocketAddr) -> OpenCounts {
+        // Connections that wait to be accepted are handed over first.
+        let is_closed = self.is_closed.load(Ordering::SeqCst) || !self.closing.is_cancelled();
         let counted = self.count().await;
-        let waiting = usize::from(!is_handed_over);
-        OpenCounts { connections: counted.connections + waiting, ..counted }
+        if !is_closed {
+            return OpenCounts { connections: counted.connections.max(1), ..counted };
+        }
+        if !counted.is_empty() {
+            return counted;
+        }
+        let queues = SocketQueues::read(listen).unwrap_or_else(|cause| {
+            tracing::warn!(unit = "run", event = "queues_not_read", %cause);
+            SocketQueues::default()
+        });
+        OpenCounts { queued: queues.count(), ..counted }
     }
 }
 
@@ -100,6 +122,6 @@
         let handed_over = gate.open_connections().saturating_sub(connections.served_connections());
         let connections = connections.unfinished_connections() + handed_over;
         // A stop that does not wait any more asks again.
-        let _ = reply.send(OpenCounts { requests: gate.open_requests(), connections });
+        let _ = reply.send(OpenCounts { requests: gate.open_requests(), connections, queued: 0 });
     }
 }
--- a/crates/inbound/src/lib.rs
+++ b/crates/inbound/src/lib.rs
@@ -7,8 +7,10 @@
 mod answers;
 mod connections;
 mod counting;
+mod queues;
 
 pub use accept::{AcceptedConnection, ConnectionGate, MAX_HANDED_OVER, accept, listen, serve};
 pub use answers::{AnswerEnd, HandedAnswer, unwritten_bytes};
 pub use connections::{BusyConnection, CallerConnections, DISCONNECT_TIMEOUT, HEAD_TIMEOUT};
 pub use counting::{CountQuestions, OpenCounter};
+pub use queues::SocketQueues;
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -119,9 +119,10 @@
     }
     context.heartbeat_due.notify_one();
     let mut cycle = StopCycle::new(plan);
+    let listen = context.settings.listen;
     // All requests are refused since the drain began, so there is nothing to close.
     let open = loop {
-        let (step, open) = context.open_counter.step(&mut cycle, &context.clock).await;
+        let (step, open) = context.open_counter.step(&mut cycle, &context.clock, listen).await;
         if step == StopStep::Exit {
             break open;
         }
@@ -137,8 +138,8 @@
 /// counted.
 fn log_unfinished_requests(context: &RouterContext, cause: &str, open: Option<OpenCounts>) {
     let cut = context.core().open_requests;
-    let connections = open.map(|open| open.connections);
-    tracing::warn!(unit = "run", event = "drain_ended", cause, cut, connections);
+    let (connections, queued) = (open.map(|open| open.connections), open.map(|open| open.queued));
+    tracing::warn!(unit = "run", event = "drain_ended", cause, cut, connections, queued);
 }
 
 pub(crate) fn http_config(settings: &RouterSettings) -> SharedCfg {
