--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use outbound::{ListenerState, probe_listener};
-use quarantine::{QuarantineEvent, RequestVerdict, TargetRun, part_identity};
+use quarantine::{QuarantineEvent, RequestVerdict, TargetRun, VersionHash, part_identity};
 use target::TargetEntry;
 
 use crate::call::{AdmittedCall, RoutedCall};
@@ -84,9 +84,15 @@
         return Ok(QuarantineCheck::Sound);
     }
     let now = context.now();
-    let serving = context.targets().serving(&call.service, now).count();
-    let may_try = serving >= MIN_TRIAL_TARGETS && context.members().elects_self("quarantine", now);
+    let versions: Vec<VersionHash> =
+        context.targets().serving(&call.service, now).map(|entry| version(entry)).collect();
+    let may_try =
+        versions.len() >= MIN_TRIAL_TARGETS && context.members().elects_self("quarantine", now);
+    if may_try {
+        context.quarantine().lift_unused(|version| versions.contains(&version), now);
+    }
     let verdict = context.quarantine().decide(suspects, may_try, now);
+    log_events(context);
     match verdict {
         RequestVerdict::Allowed => Ok(QuarantineCheck::Sound),
         RequestVerdict::Trial { part } => {
@@ -128,20 +134,24 @@
     if !context.targets().may_serve(entry, now) {
         return;
     }
-    let run = TargetRun::new(&entry.id, entry.incarnation);
+    let run = TargetRun::new(&entry.id, entry.incarnation, version(entry));
     let is_news = context.quarantine().record_crash(suspects, run, now);
     let suspects = PartList(suspects);
-    let target = &entry.id;
-    tracing::info!(unit = "crashes", event = "crash", %target, parts = ?suspects, is_news);
+    let (target, version) = (&entry.id, &entry.software_version);
+    tracing::info!(unit = "crashes", event = "crash", %target, %version, parts = ?suspects, is_news);
     log_events(context);
     if is_news {
         context.heartbeat_now.notify_one();
     }
 }
 
+fn version(entry: &TargetEntry) -> VersionHash {
+    VersionHash::new(&entry.software_version)
+}
+
 /// Records that a target has served a request.
-pub(crate) fn record_complete(context: &GatewayContext, suspects: &[u64]) {
-    context.quarantine().record_complete(suspects, context.now());
+pub(crate) fn record_complete(context: &GatewayContext, entry: &TargetEntry, suspects: &[u64]) {
+    context.quarantine().record_complete(suspects, version(entry), context.now());
     log_events(context);
 }
 
@@ -150,16 +160,16 @@
     let events = context.quarantine().take_events();
     for event in events {
         match event {
-            QuarantineEvent::Held { part, crashes, companions, hold_ms } => tracing::warn!(
+            QuarantineEvent::Held { key, crashes, companions, hold_ms } => tracing::warn!(
                 unit = "crashes",
                 event = "part_held",
-                parts = ?PartList(&[part]),
+                parts = ?PartList(&[key.part]),
                 companions = ?PartList(&companions),
                 crashes,
                 hold_ms,
             ),
-            QuarantineEvent::Lifted { part } => {
-                tracing::info!(unit = "crashes", event = "part_lifted", parts = ?PartList(&[part]));
+            QuarantineEvent::Lifted { key } => {
+                tracing::info!(unit = "crashes", event = "part_lifted", parts = ?PartList(&[key.part]));
             }
         }
     }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -118,7 +118,7 @@
 
     /// Records that the response was complete, which its target survived.
     pub(crate) fn record_complete(&self) {
-        record_complete(&self.worker.context, &self.suspects);
+        record_complete(&self.worker.context, &self.entry, &self.suspects);
         record_answered(&self.worker.context, &self.entry);
     }
 
--- a/crates/quarantine/src/identity.rs
+++ b/crates/quarantine/src/identity.rs
@@ -1,6 +1,35 @@
-//! Identity of requests that come again.
+//! Identity of requests that come again, and of parts at a version of the targets' software.
+
+use std::ops::RangeInclusive;
 
 use base::{hash_bytes, mix_hashes, stable_hash};
+use serde::{Deserialize, Serialize};
+
+/// Hash of a version of the targets' software.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct VersionHash(u16);
+
+impl VersionHash {
+    pub fn new(version: &str) -> Self {
+        Self(stable_hash(&[version]) as u16)
+    }
+}
+
+/// A prompt part or a request at one software version. What one version completes proves
+/// nothing of another one.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct PartKey {
+    pub part: u64,
+    pub version: VersionHash,
+}
+
+impl PartKey {
+    /// Returns the keys that a part may have.
+    pub(crate) fn all_of(part: u64) -> RangeInclusive<Self> {
+        let key = |version| Self { part, version: VersionHash(version) };
+        key(u16::MIN)..=key(u16::MAX)
+    }
+}
 
 /// Tells the identity of a request from the id of a prompt part.
 const REQUEST_BIT: u64 = 1 << 63;
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -12,7 +12,9 @@
 //!
 //! What is learned: a response that breaks off as it begins is evidence against each part
 //! that its prompt shares with others. A complete response proves all parts of its prompt
-//! sound, as a harmful one has none. Several crashes of several targets without a proof
+//! sound at the software version of its target, as a harmful one has none. A release may make a
+//! sound part harmful, so nothing is carried over from one version to another, but a part in
+//! quarantine is withheld whatever version a request would reach. Several crashes of several targets without a proof
 //! of the contrary put a part in quarantine. Routers exchange the evidence and the
 //! proofs in their heartbeats, so all of them come to the same verdict.
 //!
@@ -29,7 +31,7 @@
 mod settings;
 mod sound;
 
-pub use identity::{part_identity, request_identity};
+pub use identity::{PartKey, VersionHash, part_identity, request_identity};
 pub use notice::{CrashReport, PartVerdict, QuarantineNotice, TargetRun};
 pub use quarantine::{PartQuarantine, QuarantineEvent, RequestVerdict};
 pub use settings::QuarantineSettings;
--- a/crates/quarantine/src/notice.rs
+++ b/crates/quarantine/src/notice.rs
@@ -3,20 +3,26 @@
 use base::{Millis, stable_hash};
 use serde::{Deserialize, Serialize};
 
-/// One run of a target, from its start to its end: hashes of the target's id and of its
-/// incarnation.
+use crate::identity::{PartKey, VersionHash};
+
+/// One run of a target, from its start to its end.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct TargetRun(u64);
+pub struct TargetRun {
+    /// Hashes of the target's id and of its incarnation.
+    run: u64,
+    /// Software version of the target.
+    pub(crate) version: VersionHash,
+}
 
 impl TargetRun {
-    pub fn new(target: &str, incarnation: u64) -> Self {
+    pub fn new(target: &str, incarnation: u64, version: VersionHash) -> Self {
         let target = stable_hash(&[target]) << 32;
         let incarnation = stable_hash(&[&incarnation.to_string()]) >> 32;
-        Self(target | incarnation)
+        Self { run: target | incarnation, version }
     }
 
     pub(crate) fn is_same_target(self, other: Self) -> bool {
-        self.0 >> 32 == other.0 >> 32
+        self.run >> 32 == other.run >> 32
     }
 }
 
@@ -31,14 +37,14 @@
     pub target: TargetRun,
     /// Milliseconds since the crash.
     pub age: Millis,
-    /// Parts of the prompt that are not known to be sound.
+    /// Parts of the prompt that are not known to be sound at the target's version.
     pub parts: Vec<u64>,
 }
 
 /// A part in quarantine.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PartVerdict {
-    pub part: u64,
+    pub key: PartKey,
     /// Parts that were in every prompt under which a target crashed; only requests with all
     /// of them are withheld.
     pub companions: Vec<u64>,
@@ -52,7 +58,7 @@
 pub struct QuarantineNotice {
     pub reports: Vec<CrashReport>,
     /// Parts that peers suspect and that got a complete response.
-    pub sound: Vec<u64>,
+    pub sound: Vec<PartKey>,
     pub verdicts: Vec<PartVerdict>,
 }
 
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -5,7 +5,7 @@
 use base::Millis;
 
 use crate::evidence::{Crash, SuspectPart};
-use crate::identity::is_request;
+use crate::identity::{PartKey, VersionHash, is_request};
 use crate::notice::{CrashReport, PartVerdict, QuarantineNotice, TargetRun};
 use crate::settings::QuarantineSettings;
 use crate::sound::SoundParts;
@@ -48,9 +48,9 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum QuarantineEvent {
     /// A part was put in quarantine, by this router's evidence or a peer's verdict.
-    Held { part: u64, crashes: usize, companions: Vec<u64>, hold_ms: Millis },
+    Held { key: PartKey, crashes: usize, companions: Vec<u64>, hold_ms: Millis },
     /// A part in quarantine got a complete response.
-    Lifted { part: u64 },
+    Lifted { key: PartKey },
 }
 
 #[derive(Clone, Debug)]
@@ -80,14 +80,12 @@
     sequence: u64,
     sound: SoundParts,
     sound_requests: SoundParts,
-    /// Whether this router has got a complete response, and so knows some sound parts.
-    has_completed: bool,
     /// Never holds a part that is in `held`.
-    suspects: BTreeMap<u64, SuspectPart>,
-    held: BTreeMap<u64, HeldPart>,
+    suspects: BTreeMap<PartKey, SuspectPart>,
+    held: BTreeMap<PartKey, HeldPart>,
     recent_reports: VecDeque<(u64, u64)>,
     reports: VecDeque<Outgoing<(CrashReport, Millis)>>,
-    proofs: VecDeque<Outgoing<u64>>,
+    proofs: VecDeque<Outgoing<PartKey>>,
     /// Index of the verdict that the next notice starts at.
     next_verdict: usize,
     events: Vec<QuarantineEvent>,
@@ -102,7 +100,6 @@
             sequence: 0,
             sound: SoundParts::default(),
             sound_requests: SoundParts::default(),
-            has_completed: false,
             suspects: BTreeMap::new(),
             held: BTreeMap::new(),
             recent_reports: VecDeque::new(),
@@ -113,12 +110,12 @@
         }
     }
 
-    /// Records a complete response to a prompt with `parts`.
-    pub fn record_complete(&mut self, parts: &[u64], now: Millis) {
-        self.has_completed |= !parts.is_empty();
+    /// Records a complete response of a target with `version` to a prompt with `parts`.
+    pub fn record_complete(&mut self, parts: &[u64], version: VersionHash, now: Millis) {
         for part in parts {
-            if self.prove_sound(*part, now) {
-                self.queue_proof(*part);
+            let key = PartKey { part: *part, version };
+            if self.prove_sound(key, now) {
+                self.queue_proof(key);
             }
         }
     }
@@ -126,7 +123,7 @@
     /// Records that `target` broke off a response to a prompt with `parts` as it began.
     /// Returns whether peers should be told at once.
     pub fn record_crash(&mut self, parts: &[u64], target: TargetRun, now: Millis) -> bool {
-        let mut suspected = self.unsound(parts, now);
+        let mut suspected = self.unsound(parts, target.version, now);
         suspected.truncate(MAX_REPORT_PARTS);
         if suspected.is_empty() {
             return false;
@@ -149,8 +146,8 @@
 
     /// Merges what a peer knows.
     pub fn merge(&mut self, notice: QuarantineNotice, now: Millis) {
-        for part in notice.sound {
-            self.prove_sound(part, now);
+        for key in notice.sound {
+            self.prove_sound(key, now);
         }
         for report in notice.reports {
             let key = (report.origin, report.sequence);
@@ -163,8 +160,9 @@
             self.recent_reports.push_back(key);
             let at = now.saturating_sub(report.age);
             for part in report.parts.iter().take(MAX_REPORT_PARTS) {
-                if self.is_sound(*part, at) {
-                    self.queue_proof(*part);
+                let key = PartKey { part: *part, version: report.target.version };
+                if self.is_sound(key, at) {
+                    self.queue_proof(key);
                 }
             }
             self.add_evidence(&report, at, now);
@@ -201,8 +199,8 @@
         let start = self.next_verdict.checked_rem(self.held.len()).unwrap_or(0);
         self.next_verdict = start + count;
         let held_parts = self.held.iter().cycle().skip(start).take(count);
-        let verdicts = held_parts.map(|(part, held)| PartVerdict {
-            part: *part,
+        let verdicts = held_parts.map(|(key, held)| PartVerdict {
+            key: *key,
             companions: held.companions.clone(),
             remaining: held.until.saturating_sub(now),
             trials: held.trials,
@@ -214,9 +212,9 @@
     /// whether trials are up to this router.
     pub fn decide(&mut self, parts: &[u64], is_elected: bool, now: Millis) -> RequestVerdict {
         let settings = self.settings;
-        let held = parts.iter().find(|part| self.withholds(**part, parts));
-        let Some(part) = held.copied() else { return RequestVerdict::Allowed };
-        let Some(held) = self.held.get_mut(&part) else { return RequestVerdict::Allowed };
+        let Some(key) = self.held_key(parts) else { return RequestVerdict::Allowed };
+        let Some(held) = self.held.get_mut(&key) else { return RequestVerdict::Allowed };
+        let part = key.part;
         let is_final = is_request(part) && held.trials >= settings.max_request_trials;
         if now < held.until || !is_elected || is_final {
             let wait_ms = held.until.saturating_sub(now);
@@ -229,9 +227,19 @@
         RequestVerdict::Trial { part }
     }
 
+    /// Lifts what is due for a trial and was held at a version that no target has any more, as
+    /// after a release was taken back.
+    pub fn lift_unused(&mut self, is_used: impl Fn(VersionHash) -> bool, now: Millis) {
+        let due = self.held.iter().filter(|(key, held)| now >= held.until && !is_used(key.version));
+        for key in due.map(|(key, _)| *key).collect::<Vec<_>>() {
+            self.prove_sound(key, now);
+            self.queue_proof(key);
+        }
+    }
+
     /// Whether a request whose prompt has `parts` is withheld. Makes no trial.
     pub fn is_withheld(&self, parts: &[u64]) -> bool {
-        parts.iter().any(|part| self.withholds(*part, parts))
+        self.held_key(parts).is_some()
     }
 
     /// Returns the changes of belief since the last call.
@@ -244,61 +252,67 @@
         [self.suspects.len(), self.held.len(), self.sound.len() + self.sound_requests.len()]
     }
 
-    fn withholds(&self, part: u64, parts: &[u64]) -> bool {
-        self.held
-            .get(&part)
-            .is_some_and(|held| held.companions.iter().all(|other| parts.contains(other)))
+    /// Returns the part, held at some version, for which a prompt with `parts` is withheld.
+    fn held_key(&self, parts: &[u64]) -> Option<PartKey> {
+        let held = parts.iter().flat_map(|part| self.held.range(PartKey::all_of(*part)));
+        let mut withholding =
+            held.filter(|(_, held)| held.companions.iter().all(|other| parts.contains(other)));
+        withholding.next().map(|(key, _)| *key)
     }
 
-    fn unsound(&self, parts: &[u64], at: Millis) -> Vec<u64> {
-        parts.iter().copied().filter(|part| !self.is_sound(*part, at)).collect()
+    fn unsound(&self, parts: &[u64], version: VersionHash, at: Millis) -> Vec<u64> {
+        let is_sound = |part| self.is_sound(PartKey { part, version }, at);
+        parts.iter().copied().filter(|part| !is_sound(*part)).collect()
     }
 
     /// Whether a part got a complete response lately before `at`, or later.
-    fn is_sound(&self, part: u64, at: Millis) -> bool {
-        let sound = if is_request(part) { &self.sound_requests } else { &self.sound };
-        sound.is_sound(part, self.settings.sound_ms, at)
+    fn is_sound(&self, key: PartKey, at: Millis) -> bool {
+        let sound = if is_request(key.part) { &self.sound_requests } else { &self.sound };
+        sound.is_sound(key, self.settings.sound_ms, at)
     }
 
-    /// Records a complete response to a prompt with `part`; returns whether the part was
+    /// Records a complete response to a prompt with a part; returns whether the part was
     /// suspected.
-    fn prove_sound(&mut self, part: u64, now: Millis) -> bool {
-        let sound = if is_request(part) { &mut self.sound_requests } else { &mut self.sound };
-        sound.record(part, self.settings.max_sound, self.settings.sound_ms, now);
+    fn prove_sound(&mut self, key: PartKey, now: Millis) -> bool {
+        let is_request = is_request(key.part);
+        let sound = if is_request { &mut self.sound_requests } else { &mut self.sound };
+        sound.record(key, self.settings.max_sound, self.settings.sound_ms, now);
         if self.suspects.is_empty() && self.held.is_empty() {
             return false;
         }
-        let is_held = self.held.remove(&part).is_some();
+        let is_held = self.held.remove(&key).is_some();
         if is_held {
-            self.events.push(QuarantineEvent::Lifted { part });
+            self.events.push(QuarantineEvent::Lifted { key });
         }
-        let was_suspected = self.suspects.remove(&part).is_some() || is_held;
-        let held = self.held.values_mut().map(|held| &mut held.companions);
-        let companions = held.chain(self.suspects.values_mut().map(|s| &mut s.companions));
+        let was_suspected = self.suspects.remove(&key).is_some() || is_held;
+        let held = self.held.iter_mut().map(|(other, held)| (other, &mut held.companions));
+        let suspects = self.suspects.iter_mut().map(|(other, s)| (other, &mut s.companions));
         let mut was_companion = false;
-        for companions in companions {
+        for (_, companions) in held.chain(suspects).filter(|(o, _)| o.version == key.version) {
             let before = companions.len();
-            companions.retain(|other| *other != part);
+            companions.retain(|other| *other != key.part);
             was_companion |= companions.len() < before;
         }
         was_suspected || was_companion
     }
 
-    fn queue_proof(&mut self, part: u64) {
-        self.proofs.retain(|proof| proof.item != part);
+    fn queue_proof(&mut self, key: PartKey) {
+        self.proofs.retain(|proof| proof.item != key);
         if self.proofs.len() >= MAX_OUTGOING {
             self.proofs.pop_front();
         }
-        self.proofs.push_back(Outgoing { item: part, repeats: REPEATS });
+        self.proofs.push_back(Outgoing { item: key, repeats: REPEATS });
     }
 
     fn add_evidence(&mut self, report: &CrashReport, at: Millis, now: Millis) {
         let settings = self.settings;
-        let mut parts = self.unsound(&report.parts, at);
+        let version = report.target.version;
+        let mut parts = self.unsound(&report.parts, version, at);
         parts.truncate(MAX_REPORT_PARTS);
         let crash = Crash { target: report.target, at, parts: &parts };
         for part in &parts {
-            if let Some(held) = self.held.get_mut(part) {
+            let key = PartKey { part: *part, version };
+            if let Some(held) = self.held.get_mut(&key) {
                 held.companions.retain(|other| parts.contains(other));
                 if held.targets.len() >= MAX_EXPLAINED {
                     held.targets.pop_front();
@@ -306,27 +320,27 @@
                 held.targets.push_back(report.target);
                 continue;
             }
-            match self.suspects.get_mut(part) {
+            match self.suspects.get_mut(&key) {
                 Some(suspect) => suspect.add(&crash, settings.group_ms),
                 None => {
                     self.make_room(now);
-                    self.suspects.insert(*part, SuspectPart::new(*part, &crash));
+                    self.suspects.insert(key, SuspectPart::new(*part, &crash));
                 }
             }
-            self.judge(*part, now);
+            self.judge(key, now);
         }
     }
 
-    fn judge(&mut self, part: u64, now: Millis) {
-        let Some(suspect) = self.suspects.get(&part) else { return };
+    fn judge(&mut self, key: PartKey, now: Millis) {
+        let Some(suspect) = self.suspects.get(&key) else { return };
         let crashes = suspect.unexplained(|target| self.is_explained(target));
         // A request that crashes targets leaves one suspect; targets that die for other
         // reasons leave the parts of whatever was begun there.
         let rivals = self.suspects.iter().filter(|(other, rival)| {
-            **other != part
+            other.part != key.part
                 && rival.is_request == suspect.is_request
                 && rival.crashes() + usize::from(!rival.is_request) >= crashes
-                && !suspect.companions.contains(other)
+                && !suspect.companions.contains(&other.part)
         });
         // Requests that were at the same targets and came again have as much evidence, until
         // one of them is not there.
@@ -336,14 +350,18 @@
         let min_crashes =
             if is_ambiguous { self.settings.min_ambiguous } else { self.settings.min_crashes };
         // Without any complete response, nothing tells the part from the others.
-        if crashes < min_crashes || !self.has_completed {
+        if crashes < min_crashes || !self.has_completed(key.version) {
             return;
         }
-        let Some(suspect) = self.suspects.remove(&part) else { return };
+        let Some(suspect) = self.suspects.remove(&key) else { return };
         let until = now.saturating_add(self.settings.hold_ms(0));
         let (targets, companions) = suspect.into_parts();
         let held = HeldPart { companions, trials: 0, until, targets };
-        self.hold(part, held, crashes, now);
+        self.hold(key, held, crashes, now);
+    }
+
+    fn has_completed(&self, version: VersionHash) -> bool {
+        self.sound.has_version(version) || self.sound_requests.has_version(version)
     }
 
     /// Whether a target crashed under a prompt with a part in quarantine.
@@ -352,41 +370,41 @@
     }
 
     fn merge_verdict(&mut self, verdict: PartVerdict, now: Millis) {
-        let PartVerdict { part, companions, remaining, trials } = verdict;
-        if self.is_sound(part, now) {
+        let PartVerdict { key, companions, remaining, trials } = verdict;
+        if self.is_sound(key, now) {
             // The peer has missed the proof.
-            self.queue_proof(part);
+            self.queue_proof(key);
             return;
         }
         let until = now.saturating_add(remaining.min(self.settings.max_hold_ms));
-        if let Some(held) = self.held.get_mut(&part) {
+        if let Some(held) = self.held.get_mut(&key) {
             held.companions.retain(|other| companions.contains(other));
             if trials > held.trials {
                 (held.trials, held.until) = (trials, until);
             }
             return;
         }
-        self.suspects.remove(&part);
-        let companions = self.unsound(&companions, now);
+        self.suspects.remove(&key);
+        let companions = self.unsound(&companions, key.version, now);
         let companions = companions.into_iter().take(MAX_REPORT_PARTS).collect();
         let held = HeldPart { companions, trials, until, targets: VecDeque::new() };
-        self.hold(part, held, 0, now);
+        self.hold(key, held, 0, now);
     }
 
-    fn hold(&mut self, part: u64, held: HeldPart, crashes: usize, now: Millis) {
+    fn hold(&mut self, key: PartKey, held: HeldPart, crashes: usize, now: Millis) {
         if self.held.len() >= self.settings.max_held {
             let first = self.held.iter().min_by_key(|(_, held)| held.until);
-            if let Some(part) = first.map(|(part, _)| *part) {
-                self.held.remove(&part);
+            if let Some(first) = first.map(|(key, _)| *key) {
+                self.held.remove(&first);
             }
         }
         self.events.push(QuarantineEvent::Held {
-            part,
+            key,
             crashes,
             companions: held.companions.clone(),
             hold_ms: held.until.saturating_sub(now),
         });
-        self.held.insert(part, held);
+        self.held.insert(key, held);
     }
 
     /// Removes the suspect with the least and oldest evidence if there are as many as
@@ -400,8 +418,8 @@
             return;
         }
         let weakest = self.suspects.iter().min_by_key(|(_, s)| (s.crashes(), s.last_at));
-        if let Some(part) = weakest.map(|(part, _)| *part) {
-            self.suspects.remove(&part);
+        if let Some(weakest) = weakest.map(|(key, _)| *key) {
+            self.suspects.remove(&weakest);
         }
     }
 
--- a/crates/quarantine/tests/fleet/simulation.rs
+++ b/crates/quarantine/tests/fleet/simulation.rs
@@ -3,7 +3,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use quarantine::{PartQuarantine, QuarantineNotice, QuarantineSettings, RequestVerdict, TargetRun};
+use quarantine::{
+    PartQuarantine, QuarantineNotice, QuarantineSettings, RequestVerdict, TargetRun, VersionHash,
+};
 
 use crate::random::Random;
 
@@ -89,9 +91,13 @@
     down_until: u64,
 }
 
+fn version() -> VersionHash {
+    VersionHash::new("v1")
+}
+
 /// Targets keep their ids and incarnations when they start again, the worst case.
 fn run(target: usize) -> TargetRun {
-    TargetRun::new(&format!("target-{target}"), 1)
+    TargetRun::new(&format!("target-{target}"), 1, version())
 }
 
 pub struct Simulation {
@@ -218,7 +224,7 @@
             if flight.breaks_at.is_some() {
                 router.record_crash(&flight.parts, run(flight.target), now);
             } else {
-                router.record_complete(&flight.parts, now);
+                router.record_complete(&flight.parts, version(), now);
             }
         }
     }
--- a/crates/quarantine/tests/service/simulation.rs
+++ b/crates/quarantine/tests/service/simulation.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use quarantine::{
-    PartQuarantine, QuarantineNotice, QuarantineSettings, RequestVerdict, TargetRun,
+    PartQuarantine, QuarantineNotice, QuarantineSettings, RequestVerdict, TargetRun, VersionHash,
     request_identity,
 };
 
@@ -104,6 +104,10 @@
     outcome: Outcome,
 }
 
+fn version() -> VersionHash {
+    VersionHash::new("v1")
+}
+
 fn identity(number: u64) -> u64 {
     request_identity("GET", "a.example", "/ping/1", Some("north"), &number.to_le_bytes())
 }
@@ -249,7 +253,7 @@
                 continue;
             }
             self.served_at.insert(flight.call.identity, now);
-            self.routers[flight.router].record_complete(&[flight.call.identity], now);
+            self.routers[flight.router].record_complete(&[flight.call.identity], version(), now);
         }
     }
 
@@ -266,7 +270,7 @@
             return;
         }
         // It starts again as another incarnation.
-        let run = TargetRun::new(&format!("target-{target}"), self.targets[target]);
+        let run = TargetRun::new(&format!("target-{target}"), self.targets[target], version());
         self.targets[target] = self.now + DOWN_MS + self.random.below(500);
         let (lost, flights) = std::mem::take(&mut self.flights)
             .into_iter()
--- a/crates/quarantine/tests/verdicts.rs
+++ b/crates/quarantine/tests/verdicts.rs
@@ -1,18 +1,25 @@
 //! Verdicts of single routers on single parts.
 
-use quarantine::{PartQuarantine, QuarantineEvent, QuarantineSettings, RequestVerdict, TargetRun};
+use quarantine::{
+    PartKey, PartQuarantine, QuarantineEvent, QuarantineSettings, RequestVerdict, TargetRun,
+    VersionHash,
+};
 
 const BAD: u64 = 9;
 const COMMON: u64 = 1;
 
 fn router(origin: u64) -> PartQuarantine {
     let mut router = PartQuarantine::new(origin, QuarantineSettings::default());
-    router.record_complete(&[COMMON], 0);
+    router.record_complete(&[COMMON], version(), 0);
     router
 }
 
+fn version() -> VersionHash {
+    VersionHash::new("v1")
+}
+
 fn run(number: u64) -> TargetRun {
-    TargetRun::new(&format!("target-{number}"), 1)
+    TargetRun::new(&format!("target-{number}"), 1, version())
 }
 
 /// Records three crashes of different targets under the bad part, a second apart.
@@ -33,7 +40,10 @@
     assert!(is_withheld(&mut router, &[COMMON, BAD, 7], 3_100));
     assert!(is_withheld(&mut router, &[BAD], 3_100), "whatever else the prompt holds");
     assert!(!is_withheld(&mut router, &[COMMON, 100], 3_100));
-    assert!(matches!(&router.take_events()[..], [QuarantineEvent::Held { part: BAD, .. }]));
+    assert!(matches!(
+        &router.take_events()[..],
+        [QuarantineEvent::Held { key: PartKey { part: BAD, .. }, .. }]
+    ));
 }
 
 #[test]
@@ -64,7 +74,7 @@
     other.merge(one.notice(3_100), 3_100);
     assert!(is_withheld(&mut other, &[BAD], 3_100));
     // A response that was begun before.
-    other.record_complete(&[COMMON, BAD], 3_200);
+    other.record_complete(&[COMMON, BAD], version(), 3_200);
     assert!(!is_withheld(&mut other, &[BAD], 3_200));
     one.merge(other.notice(3_300), 3_300);
     assert!(!is_withheld(&mut one, &[BAD], 3_300));
@@ -137,7 +147,7 @@
             u32::from(router.decide(&[BAD], true, now) == RequestVerdict::Trial { part: BAD });
     }
     assert!(trials <= 3, "{trials} trials in {day_ms} ms");
-    router.record_complete(&[BAD], now);
+    router.record_complete(&[BAD], version(), now);
     assert_eq!(router.decide(&[BAD], false, now), RequestVerdict::Allowed);
 }
 
@@ -173,3 +183,18 @@
     }
     assert_eq!(router.notice(1_020).reports.len(), 1);
 }
+
+/// Guards against a part that is withheld for good as it was harmful to a version that is gone.
+#[test]
+fn trial_of_a_part_is_not_needed_after_its_version_is_gone() {
+    let mut router = router(1);
+    crash_three(&mut router, 1_000);
+    let now = 3_000 + QuarantineSettings::default().first_hold_ms + 10;
+    router.lift_unused(|used| used == version(), now);
+    assert!(is_withheld(&mut router, &[BAD], now));
+    // The targets of another version, whose responses prove nothing of this one.
+    router.record_complete(&[COMMON, BAD], VersionHash::new("v2"), now);
+    assert!(is_withheld(&mut router, &[BAD], now));
+    router.lift_unused(|used| used != version(), now);
+    assert!(!is_withheld(&mut router, &[BAD], now));
+}
