--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -115,7 +115,7 @@
     !context.quarantine().is_withheld(&crash_suspects(call), context.now())
 }
 
-/// Records that a target broke off a response as it began to write it, if the target no longer
+/// Records that a target broke off a response, if the target no longer
 /// listens: one that does has lost the response for another reason.
 pub(crate) fn record_crash(worker: &Rc<Worker>, entry: &Arc<TargetEntry>, suspects: Vec<u64>) {
     let (worker, entry) = (Rc::clone(worker), Arc::clone(entry));
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -10,6 +10,7 @@
 use http::Response;
 use hyper::body::Incoming;
 use outbound::{Connection, ExchangeError};
+use quarantine::crash_evidence;
 use route::CallKind;
 use target::{OutstandingKey, RequestOutcome, TargetEntry, TargetKey};
 
@@ -87,19 +88,21 @@
     /// This is not recorded in the target's health while this thread is late, as the
     /// target may have given up on it.
     pub(crate) fn break_off(mut self) {
-        let is_late = self.record_crash_at_begin();
+        let is_late = self.record_crash();
         self.remove((!is_late).then_some(RequestOutcome::Failed));
     }
 
-    /// Records that the target may have crashed as it began to write. Returns whether this thread
+    /// Records that the target may have crashed under the request. Returns whether this thread
     /// is late, so that the end says nothing about the target.
-    fn record_crash_at_begin(&mut self) -> bool {
+    fn record_crash(&mut self) -> bool {
         let now = self.worker.context.now();
         let is_late = self.worker.was_late_since(now);
         let has_just_begun =
             self.first_byte_at.get().is_none_or(|at| now.saturating_sub(at) < BEGIN_MS);
-        if !is_late && has_just_begun {
-            record_crash(&self.worker, &self.entry, std::mem::take(&mut self.suspects));
+        if !is_late {
+            let suspects = std::mem::take(&mut self.suspects);
+            let suspects = crash_evidence(suspects, has_just_begun);
+            record_crash(&self.worker, &self.entry, suspects);
         }
         is_late
     }
@@ -107,7 +110,7 @@
     /// Removes the request from the target's load and records that its response ended in order,
     /// but may not be whole: its target may have crashed.
     pub(crate) fn end_in_order(mut self) {
-        self.record_crash_at_begin();
+        self.record_crash();
         self.remove(Some(RequestOutcome::Answered));
     }
 
--- a/crates/quarantine/src/identity.rs
+++ b/crates/quarantine/src/identity.rs
@@ -31,6 +31,13 @@
     }
 }
 
+/// Returns which of `suspects` a crash is evidence against. A part crashes a target as it begins to
+/// write, a request at any time of its run.
+pub fn crash_evidence(mut suspects: Vec<u64>, has_just_begun: bool) -> Vec<u64> {
+    suspects.retain(|suspect| has_just_begun || is_request(*suspect));
+    suspects
+}
+
 /// Tells the identity of a request from the id of a prompt part.
 const REQUEST_BIT: u64 = 1 << 63;
 
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -32,7 +32,7 @@
 mod settings;
 mod sound;
 
-pub use identity::{PartKey, VersionHash, part_identity, request_identity};
+pub use identity::{PartKey, VersionHash, crash_evidence, part_identity, request_identity};
 pub use notice::{CrashReport, PartVerdict, QuarantineNotice, TargetRun};
 pub use quarantine::{PartQuarantine, QuarantineEvent, RequestVerdict};
 pub use settings::QuarantineSettings;
--- a/crates/quarantine/tests/service/main.rs
+++ b/crates/quarantine/tests/service/main.rs
@@ -30,6 +30,7 @@
         heartbeat_ms: if routers > 20 { routers as u64 * 10 } else { 200 },
         loss: rest.0,
         deaths_per_min: rest.1,
+        max_run_ms: 60,
         until_ms: 60_000,
     })
 }
@@ -49,6 +50,7 @@
         heartbeat_ms: 200,
         loss: 1,
         deaths_per_min: 0,
+        max_run_ms: 60,
         until_ms: 90_000,
     }
 }
@@ -103,3 +105,22 @@
         }
     }
 }
+
+/// Guards against a request that crashes its targets late in its run, with all that runs there
+/// (BUDGET): sound requests that were lost with it have nearly as much evidence.
+#[test]
+fn request_that_crashes_targets_late_in_its_run_is_withheld_in_time() {
+    for (routers, targets) in [(6, 4), (54, 12), (90, 20), (295, 20)] {
+        for seed in 0..3 {
+            let heartbeat_ms = if routers > 20 { 900 } else { 200 };
+            let load = Plan { seed, routers, targets, heartbeat_ms, ..incident() };
+            let plan = Plan { max_run_ms: 3_000, is_idempotent: false, until_ms: 30_000, ..load };
+            let outcome = Simulation::new(plan.clone()).run();
+            let (late, crashes) = (outcome.late_sends(), outcome.crashes.len());
+            assert!(late <= MAX_LATE_SENDS, "{late} late sends, {crashes} crashes, {plan:?}");
+            assert!(crashes >= 3, "the load has no effect, {plan:?}");
+            let withheld = outcome.sound_withheld.len() + outcome.unserved_withheld.len();
+            assert_eq!(withheld, 0, "sound requests are withheld, {plan:?}");
+        }
+    }
+}
--- a/crates/quarantine/tests/service/simulation.rs
+++ b/crates/quarantine/tests/service/simulation.rs
@@ -43,6 +43,8 @@
     pub loss: u64,
     /// Targets that end per minute for other reasons.
     pub deaths_per_min: u64,
+    /// Longest run of a request; the bad one crashes its target at the end of its own.
+    pub max_run_ms: u64,
     pub until_ms: u64,
 }
 
@@ -229,7 +231,7 @@
         if call.is_bad {
             self.outcome.bad_sent.push(now);
         }
-        let ends_at = now + 20 + self.random.below(60);
+        let ends_at = now + 20 + self.random.below(self.plan.max_run_ms);
         self.flights.push(Flight { call, router, target, attempts, ends_at });
     }
 
