--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -8,6 +8,7 @@
 use base::{Millis, Name};
 use cadence::prelude::*;
 use outbound::ExchangeError;
+use quarantine::crash_evidence;
 use target::{OutstandingKey, RequestOutcome, TargetEntry, TargetKey};
 
 use crate::answers::{record_backoff, record_leaving};
@@ -85,19 +86,21 @@
     /// This is not recorded in the target's health while this thread is late, as the
     /// target may have given up on it.
     pub(crate) fn break_off(mut self) {
-        let is_late = self.record_crash_at_begin();
+        let is_late = self.record_crash();
         self.remove((!is_late).then_some(RequestOutcome::Failed));
     }
 
-    /// Records that the target may have crashed as it began to write. Returns whether this thread
+    /// Records that the target may have crashed under the request. Returns whether this thread
     /// is late, so that the end says nothing about the target.
-    fn record_crash_at_begin(&mut self) -> bool {
+    fn record_crash(&mut self) -> bool {
         let now = self.worker.context.now();
         let is_late = self.worker.was_late_since(now);
         let has_just_begun =
             self.first_byte_at.get().is_none_or(|at| now.saturating_sub(at) < BEGIN_MS);
-        if !is_late && has_just_begun {
-            record_crash(&self.worker, &self.entry, std::mem::take(&mut self.suspects));
+        if !is_late {
+            let suspects = std::mem::take(&mut self.suspects);
+            let suspects = crash_evidence(suspects, has_just_begun);
+            record_crash(&self.worker, &self.entry, suspects);
         }
         is_late
     }
@@ -105,7 +108,7 @@
     /// Removes the request from the target's load and records that its response ended in order,
     /// but may not be whole: its target may have crashed.
     pub(crate) fn end_in_order(mut self) {
-        self.record_crash_at_begin();
+        self.record_crash();
         self.remove(Some(RequestOutcome::Answered));
     }
 
@@ -116,7 +119,7 @@
 
     /// Records that the response was complete, which its target survived.
     pub(crate) fn record_complete(&self) {
-        record_complete(&self.worker.context, &self.suspects);
+        record_complete(&self.worker.context, &self.entry, &self.suspects);
         record_answered(&self.worker.context, &self.entry);
     }
 
--- a/crates/quarantine/tests/service/simulation.rs
+++ b/crates/quarantine/tests/service/simulation.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use quarantine::{
-    PartQuarantine, QuarantineNotice, QuarantineSettings, RequestVerdict, TargetRun,
+    PartQuarantine, QuarantineNotice, QuarantineSettings, RequestVerdict, TargetRun, VersionHash,
     request_identity,
 };
 
@@ -43,6 +43,8 @@
     pub loss: u64,
     /// Targets that end per minute for other reasons.
     pub deaths_per_min: u64,
+    /// Longest run of a request; the bad one crashes its target at the end of its own.
+    pub max_run_ms: u64,
     pub until_ms: u64,
 }
 
@@ -104,6 +106,10 @@
     outcome: Outcome,
 }
 
+fn version() -> VersionHash {
+    VersionHash::new("v1")
+}
+
 fn identity(number: u64) -> u64 {
     request_identity("GET", "a.example", "/ping/1", Some("north"), &number.to_le_bytes())
 }
@@ -225,7 +231,7 @@
         if call.is_bad {
             self.outcome.bad_sent.push(now);
         }
-        let ends_at = now + 20 + self.random.below(60);
+        let ends_at = now + 20 + self.random.below(self.plan.max_run_ms);
         self.flights.push(Flight { call, router, target, attempts, ends_at });
     }
 
@@ -249,7 +255,7 @@
                 continue;
             }
             self.served_at.insert(flight.call.identity, now);
-            self.routers[flight.router].record_complete(&[flight.call.identity], now);
+            self.routers[flight.router].record_complete(&[flight.call.identity], version(), now);
         }
     }
 
@@ -266,7 +272,7 @@
             return;
         }
         // It starts again as another incarnation.
-        let run = TargetRun::new(&format!("target-{target}"), self.targets[target]);
+        let run = TargetRun::new(&format!("target-{target}"), self.targets[target], version());
         self.targets[target] = self.now + DOWN_MS + self.random.below(500);
         let (lost, flights) = std::mem::take(&mut self.flights)
             .into_iter()
@@ -278,7 +284,7 @@
             if is_news {
                 self.send_notice(router);
             }
-            let is_withheld = self.routers[router].is_withheld(&[call.identity]);
+            let is_withheld = self.routers[router].is_withheld(&[call.identity], self.now);
             if self.plan.is_idempotent && attempts < MAX_ATTEMPTS && !is_withheld {
                 self.send(router, call, attempts + 1, Some(target));
             } else if self.plan.is_idempotent {
--- a/crates/quarantine/tests/verdicts.rs
+++ b/crates/quarantine/tests/verdicts.rs
@@ -1,18 +1,25 @@
 //! Verdicts of single routers on single parts.
 
-use quarantine::{PartQuarantine, QuarantineEvent, QuarantineSettings, RequestVerdict, TargetRun};
+use quarantine::{
+    PartKey, PartQuarantine, QuarantineEvent, QuarantineSettings, RequestVerdict, TargetRun,
+    VersionHash,
+};
 
 const BAD: u64 = 9;
 const COMMON: u64 = 1;
 
 fn router(origin: u64) -> PartQuarantine {
     let mut router = PartQuarantine::new(origin, QuarantineSettings::default());
-    router.record_complete(&[COMMON], 0);
+    router.record_complete(&[COMMON], version(), 0);
     router
 }
 
+fn version() -> VersionHash {
+    VersionHash::new("v1")
+}
+
 fn run(number: u64) -> TargetRun {
-    TargetRun::new(&format!("target-{number}"), 1)
+    TargetRun::new(&format!("target-{number}"), 1, version())
 }
 
 /// Records three crashes of different targets under the bad part, a second apart.
@@ -33,7 +40,10 @@
     assert!(is_withheld(&mut router, &[COMMON, BAD, 7], 3_100));
     assert!(is_withheld(&mut router, &[BAD], 3_100), "whatever else the prompt holds");
     assert!(!is_withheld(&mut router, &[COMMON, 100], 3_100));
-    assert!(matches!(&router.take_events()[..], [QuarantineEvent::Held { part: BAD, .. }]));
+    assert!(matches!(
+        &router.take_events()[..],
+        [QuarantineEvent::Held { key: PartKey { part: BAD, .. }, .. }]
+    ));
 }
 
 #[test]
@@ -64,7 +74,7 @@
     other.merge(one.notice(3_100), 3_100);
     assert!(is_withheld(&mut other, &[BAD], 3_100));
     // A response that was begun before.
-    other.record_complete(&[COMMON, BAD], 3_200);
+    other.record_complete(&[COMMON, BAD], version(), 3_200);
     assert!(!is_withheld(&mut other, &[BAD], 3_200));
     one.merge(other.notice(3_300), 3_300);
     assert!(!is_withheld(&mut one, &[BAD], 3_300));
@@ -77,13 +87,14 @@
     assert!(!is_withheld(&mut behind, &[BAD], 3_500));
 }
 
-/// Guards against parts that are taken to be harmful as targets end together, or as one
-/// target ends a few times.
+/// Guards against parts that are taken to be harmful as targets end together, one of them
+/// without a request with the part, or as one target ends a few times.
 #[test]
 fn targets_that_end_together_and_one_that_ends_often_are_no_clear_evidence() {
     let mut router = router(1);
     for target in 0..10 {
-        router.record_crash(&[COMMON, 50], run(target), 1_000 + target * 10);
+        let part = if target == 7 { 51 } else { 50 };
+        router.record_crash(&[COMMON, part], run(target), 1_000 + target * 10);
     }
     assert!(!is_withheld(&mut router, &[COMMON, 50], 2_000));
     for crash in 0..4 {
@@ -137,7 +148,7 @@
             u32::from(router.decide(&[BAD], true, now) == RequestVerdict::Trial { part: BAD });
     }
     assert!(trials <= 3, "{trials} trials in {day_ms} ms");
-    router.record_complete(&[BAD], now);
+    router.record_complete(&[BAD], version(), now);
     assert_eq!(router.decide(&[BAD], false, now), RequestVerdict::Allowed);
 }
 
@@ -173,3 +184,32 @@
     }
     assert_eq!(router.notice(1_020).reports.len(), 1);
 }
+
+/// Guards against a part that is withheld for good as it was harmful to a version that is gone.
+#[test]
+fn trial_of_a_part_is_not_needed_after_its_version_is_gone() {
+    let mut router = router(1);
+    crash_three(&mut router, 1_000);
+    let now = 3_000 + QuarantineSettings::default().first_hold_ms + 10;
+    router.lift_unused(|used| used == version(), now);
+    assert!(is_withheld(&mut router, &[BAD], now));
+    // The targets of another version, whose responses prove nothing of this one.
+    router.record_complete(&[COMMON, BAD], VersionHash::new("v2"), now);
+    assert!(is_withheld(&mut router, &[BAD], now));
+    router.lift_unused(|used| used != version(), now);
+    assert!(!is_withheld(&mut router, &[BAD], now));
+}
+
+/// Guards against a part that crashes several targets at once and whose crashes count as one
+/// (BUDGET). The reports of peers arrive later than this router's own.
+#[test]
+fn targets_that_end_together_under_one_part_alone_put_it_in_quarantine() {
+    let mut router = router(1);
+    let settings = QuarantineSettings::default();
+    for target in 0..4 {
+        router.record_crash(&[COMMON, BAD, 100 + target], run(target), 1_000 + target * 50);
+        assert!(!is_withheld(&mut router, &[BAD], 1_000 + target * 50), "not settled");
+    }
+    assert!(is_withheld(&mut router, &[BAD], 1_150 + settings.settle_ms));
+    assert!(!is_withheld(&mut router, &[COMMON, 100], 1_150 + settings.settle_ms));
+}
