--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -131,7 +131,7 @@
 fn record_confirmed_crash(context: &GatewayContext, entry: &TargetEntry, suspects: &[u64]) {
     let now = context.now();
     // A target that leaves ends what it has not finished.
-    if !context.targets().may_serve(entry, now) {
+    if !context.targets().is_present(entry, now) {
         return;
     }
     let run = TargetRun::new(&entry.id, entry.incarnation, version(entry));
