--- a/crates/quarantine/tests/fleet/main.rs
+++ b/crates/quarantine/tests/fleet/main.rs
@@ -4,6 +4,8 @@
 mod random;
 mod simulation;
 
+use std::ops::Range;
+
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use quarantine::QuarantineSettings;
@@ -90,8 +92,8 @@
     }
 }
 
-/// Number of seeds of each load on a fleet.
-const LOAD_SEEDS: u64 = 3;
+/// Seeds of each load on a fleet.
+const LOAD_SEEDS: Range<u64> = 0..3;
 
 /// A load without other faults than the bad part, which the fleet has to find exactly.
 fn load(routers: usize, targets: usize) -> Plan {
@@ -116,9 +118,9 @@
 }
 
 /// Plays a load on fleets of four sizes.
-fn check_fleets(plan: impl Fn(Plan) -> Plan) {
+fn check_fleets(seeds: Range<u64>, plan: impl Fn(Plan) -> Plan) {
     for (routers, targets) in [(6, 6), (54, 40), (90, 90), (295, 100)] {
-        for seed in 0..LOAD_SEEDS {
+        for seed in seeds.clone() {
             let plan = plan(Plan { seed, ..load(routers, targets) });
             let outcome = Simulation::new(plan.clone()).run();
             let (late, crashes) = (outcome.late_sends(), outcome.crashes.len());
@@ -135,14 +137,32 @@
 /// version before completed was taken to prove it sound.
 #[test]
 fn part_that_a_release_makes_harmful_is_withheld_in_time() {
-    check_fleets(|plan| Plan { release: Some((6_000, 3_000 / plan.targets as u64)), ..plan });
+    check_fleets(LOAD_SEEDS, |plan| Plan {
+        release: Some((6_000, 3_000 / plan.targets as u64)),
+        ..plan
+    });
+}
+
+/// The same at 10 requests with the part a second, where the targets of the new version may complete
+/// nothing before they crash: then no part is withheld.
+#[test]
+#[ignore = "known to fail, see KNOWN-RED.txt"]
+fn part_that_a_release_makes_harmful_is_withheld_under_many_requests() {
+    check_fleets(0..40, |plan| {
+        let release = Some((6_000, 3_000 / plan.targets as u64));
+        Plan { bad_per_s: 10, release, ..plan }
+    });
 }
 
 /// Guards against a part that crashes all targets within 0.2 s each time they are back (BUDGET):
 /// crashes in quick succession counted as one.
 #[test]
 fn part_that_crashes_all_targets_at_once_is_withheld_in_time() {
-    check_fleets(|plan| Plan { bad_per_s: 20 * plan.targets as u64, is_in_step: true, ..plan });
+    check_fleets(LOAD_SEEDS, |plan| Plan {
+        bad_per_s: 20 * plan.targets as u64,
+        is_in_step: true,
+        ..plan
+    });
 }
 
 /// The size of the largest deployments: a router sees each part rarely, and heartbeats come
