--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use outbound::{ListenerState, probe_listener};
+use outbound::{ListenerState, probe_after_end};
 use quarantine::{QuarantineEvent, RequestVerdict, TargetRun, VersionHash, part_identity};
 use target::TargetEntry;
 
@@ -121,7 +121,7 @@
     let (worker, entry) = (Rc::clone(worker), Arc::clone(entry));
     ntex::rt::spawn(async move {
         let probed_at = worker.context.now();
-        if probe_listener(entry.address, PROBE_TIMEOUT).await == ListenerState::Refused {
+        if probe_after_end(entry.address, PROBE_TIMEOUT).await == ListenerState::Refused {
             record_refused(&worker.context, &entry, probed_at);
             record_confirmed_crash(&worker.context, &entry, &suspects);
         }
--- a/crates/outbound/src/ending.rs
+++ b/crates/outbound/src/ending.rs
@@ -11,11 +11,8 @@
 use tokio::time::Instant;
 
 use crate::framing::BodyFraming;
-use crate::probe::{ListenerState, probe_listener};
+use crate::probe::{ListenerState, SETTLE_TIME, probe_listener};
 
-/// Time from the end of an answer to the first attempt to connect. The system may close the
-/// connections of a killed process a moment before the socket at which it listens.
-const SETTLE_TIME: Duration = Duration::from_millis(20);
 /// Lateness in milliseconds from which on a process that listens may be a later one than the one that
 /// answered: less than targets take to start again.
 const MAX_LATE_MS: u64 = 500;
@@ -81,7 +78,7 @@
         if evidence.check() != Err(UnprovedEnd::Unknown) {
             return evidence;
         }
-        let listener = Some(probe_after_end(end.peer).await);
+        let listener = Some(probe_repeatedly(end.peer).await);
         Self { listener, late_ms: evidence.late_ms.max(late_ms()), ..evidence }
     }
 
@@ -121,7 +118,7 @@
 }
 
 /// Returns whether a process listens at `peer`, `Unknown` if no attempt shows it.
-async fn probe_after_end(peer: SocketAddr) -> ListenerState {
+async fn probe_repeatedly(peer: SocketAddr) -> ListenerState {
     tokio::time::sleep(SETTLE_TIME).await;
     for timeout in PROBE_TIMEOUTS {
         let deadline = Instant::now() + timeout;
--- a/crates/outbound/src/lib.rs
+++ b/crates/outbound/src/lib.rs
@@ -20,4 +20,4 @@
 pub use fetch::{FetchClient, FetchError, FetchTimeouts, PART_BYTES};
 pub use framing::BodyFraming;
 pub use pool::{ConnectionPool, PoolKey, PoolSettings, max_idle_connections};
-pub use probe::{ListenerState, probe_listener};
+pub use probe::{ListenerState, probe_after_end, probe_listener};
--- a/crates/outbound/src/probe.rs
+++ b/crates/outbound/src/probe.rs
@@ -6,6 +6,10 @@
 
 use tokio::net::TcpStream;
 
+/// Time from the end of a connection to the first attempt to connect again. The system may close the
+/// connections of a killed process a moment before the socket at which it listens.
+pub(crate) const SETTLE_TIME: Duration = Duration::from_millis(20);
+
 /// What an attempt to connect shows.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ListenerState {
@@ -27,3 +31,10 @@
         Ok(Err(_)) | Err(_) => ListenerState::Unknown,
     }
 }
+
+/// Like [`probe_listener`], after a connection to `peer` has ended: waits until the system has closed
+/// what else a killed process had open.
+pub async fn probe_after_end(peer: SocketAddr, timeout: Duration) -> ListenerState {
+    tokio::time::sleep(SETTLE_TIME).await;
+    probe_listener(peer, timeout).await
+}
