target: a revision of a later era shows that entries may be missing (LOST)

Cause: missing entries got the time to be published again only if this registry had failed to read the source, or a peer told of a recovery. That the revision is of a later era, which says the same, was not looked at. A listing had the same fault: an instance that begins to read lists at once, so its client does not report the restoration (follow.rs, by reading). Ruled out: that the peer's recovery age helps; it has none if it started after the restoration. That the client reports it to all who read; read_all does not know the revision that its caller is at. Change: a listing, or a peer's revision, of a later era than the registry's is recorded as a recovery of the source, before its records are merged. So what is missing lapses for republish_ms and is gone after that. Targets that are known to leave are removed at once, as before. A registry that has just started is not concerned: nothing that it knows can be missing. Tests changed: the model's steps are 700 ms apart instead of all at 0, so that the time after a restoration ends within a case; its checks stay as they were.

--- a/crates/target/src/coverage.rs
+++ b/crates/target/src/coverage.rs
@@ -11,6 +11,7 @@
 
 use crate::entry::TargetState;
 use crate::leaving::LeavingOrigin;
+use crate::left::ERA_REVISIONS;
 use crate::registry::{RecordChange, TargetRecord, TargetRegistry};
 
 /// Revisions of the source that a registry covers: what "I am at `revision`" promises.
@@ -47,13 +48,14 @@
     }
 
     /// Merges a complete listing of the source at `revision`. Entries that are missing in it were
-    /// removed.
+    /// removed, or written after the copy from which the source was restored since.
     pub fn merge_listing(
         &mut self,
         records: Vec<TargetRecord>,
         revision: u64,
         now: Millis,
     ) -> Vec<(Name, RecordChange)> {
+        self.record_restoration(revision, now);
         let present = records.iter().map(|record| Name::clone(&record.id)).collect();
         let mut changes = self.merge_all(records, now);
         changes.extend(self.remove_missing(&present, revision, now));
@@ -86,6 +88,7 @@
     ) -> Vec<(Name, RecordChange)> {
         let (outdated, records) = records.into_iter().partition(|record| self.is_outdated(record));
         self.record_all_leaving(outdated, now);
+        self.record_restoration(revision, now);
         let mut changes = self.merge_all(records, now);
         // What a peer that is behind lacks may have been written since.
         if revision <= self.coverage.revision {
@@ -107,6 +110,15 @@
         changes
     }
 
+    /// Records a recovery of the source if `revision` is of a later era than this registry: the source
+    /// was restored from a copy, whether or not this router or its peer was without it.
+    fn record_restoration(&mut self, revision: u64, now: Millis) {
+        let known = self.coverage.revision;
+        if known > 0 && revision / ERA_REVISIONS > known / ERA_REVISIONS {
+            self.outage.record_recovery(now);
+        }
+    }
+
     fn merge_all(&mut self, records: Vec<TargetRecord>, now: Millis) -> Vec<(Name, RecordChange)> {
         let records = records.into_iter();
         records.map(|record| (Name::clone(&record.id), self.merge(record, now))).collect()
--- a/crates/target/src/outage.rs
+++ b/crates/target/src/outage.rs
@@ -92,9 +92,9 @@
         self.recovered_at = self.recovered_at.max(self.peer_recovered_at).max(ends_now);
     }
 
-    /// Records that a peer saw the source recover `age` milliseconds ago.
-    pub(crate) fn record_peer_recovery(&mut self, age: Millis, now: Millis) {
-        self.recovered_at = self.recovered_at.max(Some(now.saturating_sub(age)));
+    /// Records that the source recovered at a time, as a peer saw or a revision of a later era shows.
+    pub(crate) fn record_recovery(&mut self, recovered_at: Millis) {
+        self.recovered_at = self.recovered_at.max(Some(recovered_at));
     }
 
     /// Returns until when targets may publish expired entries again; `None` if they have
--- a/crates/target/src/registry.rs
+++ b/crates/target/src/registry.rs
@@ -171,7 +171,7 @@
 
     /// Records that a peer saw the source recover `age` milliseconds ago.
     pub fn record_peer_recovery(&mut self, age: Millis, now: Millis) {
-        self.outage.record_peer_recovery(age, now);
+        self.outage.record_recovery(now.saturating_sub(age));
     }
 
     /// Merges one record and returns its effect.
--- a/crates/target/tests/coverage.rs
+++ b/crates/target/tests/coverage.rs
@@ -8,11 +8,15 @@
 use common::entry;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
-use target::{ERA_REVISIONS, RegistrySettings, TargetRecord, TargetRegistry, TargetState};
+use target::{
+    ERA_REVISIONS, RecordChange, RegistrySettings, TargetRecord, TargetRegistry, TargetState,
+};
 
 const TARGETS: usize = 4;
 const INSTANCES: usize = 3;
 const SEED: u64 = 64_003;
+/// Time in milliseconds from one step to the next: a few lie in the time of a restored source.
+const STEP_MS: usize = 700;
 
 #[derive(Clone, Debug)]
 enum Step {
@@ -97,14 +101,24 @@
         Self { registry: TargetRegistry::new(settings), revision: 0 }
     }
 
-    fn read(&mut self, source: &Source, is_listing: bool) {
+    fn read(&mut self, source: &Source, is_listing: bool, now: u64) {
         let revision = source.now();
         let must_list = self.revision == 0 || self.revision / ERA_REVISIONS != source.era;
-        if is_listing || must_list {
-            self.registry.merge_listing(source.listing(revision), revision, 0);
+        let changes = if is_listing || must_list {
+            self.registry.merge_listing(source.listing(revision), revision, now)
         } else {
             let newer = source.history.iter().filter(|record| record.revision > self.revision);
-            self.registry.merge_changes(newer.cloned().collect(), revision, 0);
+            self.registry.merge_changes(newer.cloned().collect(), revision, now)
+        };
+        self.advance(revision, &changes);
+    }
+
+    /// Moves on to a revision. In a later era, what a copy lacks drops no target at once.
+    fn advance(&mut self, revision: u64, changes: &[(Name, RecordChange)]) {
+        let is_later_era = revision / ERA_REVISIONS > self.revision / ERA_REVISIONS;
+        if self.revision > 0 && is_later_era {
+            let mut changes = changes.iter().map(|(_, change)| change);
+            assert!(changes.all(|change| *change != RecordChange::Removed), "at {revision}");
         }
         self.revision = self.revision.max(revision);
     }
@@ -140,14 +154,14 @@
     ) {
         let mut source = Source::default();
         let mut instances: Vec<Instance> = (0..INSTANCES).map(|_| Instance::new()).collect();
-        for step in steps {
+        for (now, step) in (0..).step_by(STEP_MS).zip(steps) {
             match step {
                 Step::Write { target, is_listed } => {
                     source.revision += 1;
                     source.write(target, is_listed, source.now());
                 }
-                Step::List(reader) => instances[reader].read(&source, true),
-                Step::Watch(reader) => instances[reader].read(&source, false),
+                Step::List(reader) => instances[reader].read(&source, true, now),
+                Step::Watch(reader) => instances[reader].read(&source, false, now),
                 Step::Restart(instance) => instances[instance] = Instance::new(),
                 Step::Restore { lost } => source.restore(lost),
                 Step::Fetch { from, by, is_start } => {
@@ -158,8 +172,9 @@
                         let (records, removals) =
                             (registry.records_since(after), registry.removals_after(after));
                         let by = &mut instances[by];
-                        by.registry.merge_peer_changes(records, peer, Some(removals), 0);
-                        by.revision = own.max(peer);
+                        let changes =
+                            by.registry.merge_peer_changes(records, peer, Some(removals), now);
+                        by.advance(peer, &changes);
                     }
                 }
             }
--- a/crates/target/tests/restored.rs
+++ b/crates/target/tests/restored.rs
@@ -8,7 +8,10 @@
 use common::{SERVICE, entry};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
-use target::{ERA_REVISIONS, RegistrySettings, TargetRecord, TargetRegistry, TargetState};
+use target::{
+    ERA_REVISIONS, RecordChange, RegistrySettings, RemovalNotice, TargetRecord, TargetRegistry,
+    TargetState,
+};
 
 /// Time of the restoration in milliseconds, and that at which live targets have published
 /// their entries again.
@@ -130,3 +133,21 @@
         prop_assert_eq!(&serving(&new, REPUBLISHED_AT), &alive);
     }
 }
+
+/// Guards against sound targets that are all dropped (LOST): a peer that started after the restoration
+/// says what the copy has to a router that was never without the source.
+#[test]
+fn entries_newer_than_the_copy_are_kept_if_a_new_peer_reads_it_first() {
+    let copied = ERA_REVISIONS + 1;
+    let removals = RemovalNotice { since: copied, present: Some(Vec::new()) };
+    let mut registry = TargetRegistry::new(RegistrySettings::default());
+    registry.merge_listing(vec![record(0, Some(TargetState::Serving), 5)], 5, 1_000);
+    let changes = registry.merge_peer_changes(Vec::new(), copied, Some(removals), RESTORED_AT);
+    assert_eq!(changes, [("t0".into(), RecordChange::Lapsed)]);
+    assert_eq!(serving(&registry, REPUBLISHED_AT - 1).len(), 1);
+    assert!(serving(&registry, REPUBLISHED_AT).is_empty());
+    // Nothing that a router reads first can be missing.
+    let mut new = TargetRegistry::new(RegistrySettings::default());
+    new.merge_listing(vec![record(0, Some(TargetState::Serving), copied)], copied, RESTORED_AT);
+    assert_eq!(new.merge(record(0, None, copied + 1), RESTORED_AT), RecordChange::Removed);
+}
