--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -115,8 +115,8 @@
     !context.quarantine().is_withheld(&crash_suspects(call), context.now())
 }
 
-/// Records that a target broke off a response, if the target no longer
-/// listens: one that does has lost the response for another reason.
+/// Records that a target broke off a response, if the target no longer listens: one that does has
+/// lost the response for another reason.
 pub(crate) fn record_crash(worker: &Rc<Worker>, entry: &Arc<TargetEntry>, suspects: Vec<u64>) {
     let (worker, entry) = (Rc::clone(worker), Arc::clone(entry));
     ntex::rt::spawn(async move {
