--- a/crates/gateway/src/signals.rs
+++ b/crates/gateway/src/signals.rs
@@ -43,8 +43,10 @@
     /// # Errors
     /// Returns an error if a handler can't be installed.
     pub fn install() -> io::Result<Self> {
-        let reload = CaughtSignal::install(&[SIGHUP])?;
-        Ok(Self { stop: CaughtSignal::install(&[SIGTERM, SIGINT])?, reload })
+        base::install_handlers(&[SIGHUP, SIGTERM, SIGINT], || {
+            let reload = CaughtSignal::install(&[SIGHUP])?;
+            Ok(Self { stop: CaughtSignal::install(&[SIGTERM, SIGINT])?, reload })
+        })
     }
 }
 
