--- a/crates/base/src/signals.rs
+++ b/crates/base/src/signals.rs
@@ -5,8 +5,8 @@
 use nix::sys::signal::{SigSet, SigmaskHow, Signal};
 
 /// Runs `install` with signals blocked on this thread, so that one that comes meanwhile waits until
-/// the handlers are complete: `signal_hook` drops a signal between the installation of its first
-/// handler and the registration of what that handler runs. To be called while the process has no
+/// the handlers are complete, and is not lost between the installation of a handler and the
+/// registration of what that handler runs. To be called while the process has no
 /// other thread, as that would take the signal.
 ///
 /// # Errors
