process: the log says which signals the starter of a process blocked or ignored

Change: no decision changes. A crate `process` takes over what catches signals (from `base` and `gateway`) and reads the state that the process inherited: `run inherited blocked= ignored= pending= drops_early=`.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -7,7 +7,6 @@
 mod metrics;
 mod rendezvous;
 mod settings;
-mod signals;
 
 pub use clock::{Millis, MonoClock};
 pub use identity::{Name, Origin};
@@ -15,4 +14,3 @@
 pub use metrics::{PrometheusSink, metrics_client, prometheus_client};
 pub use rendezvous::{hash_bytes, mix_hashes, rank_candidates, stable_hash};
 pub use settings::{SettingsError, load_settings, parse_jsonc};
-pub use signals::install_handlers;
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 
 use ntex::server::Server;
+use process::{CaughtSignal, SignalReceiver};
 
 use crate::context::GatewayContext;
-use crate::signals::{CaughtSignal, SignalReceiver};
 use crate::stop;
 
 /// Nothing has been announced to peers and callers.
--- a/crates/gateway/src/reload.rs
+++ b/crates/gateway/src/reload.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use base::SettingsError;
+use process::CaughtSignal;
 
 use crate::context::GatewayContext;
 use crate::settings::GatewaySettings;
-use crate::signals::CaughtSignal;
 
 /// Time between two checks of the file, as it may change without a signal.
 const POLL_PERIOD: Duration = Duration::from_secs(2);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -26,7 +26,7 @@
 use crate::resources::sample_resources;
 use crate::serve;
 use crate::settings::GatewaySettings;
-use crate::signals::ProcessSignals;
+use crate::signals::{ProcessSignals, SignalWatch};
 
 /// Time after which an idle connection of a caller is closed: longer than any
 /// caller keeps one for reuse.
@@ -48,7 +48,7 @@
     settings.check()?;
     let _guard = base::init_stdout_logs(&settings.log);
     let (metrics, metrics_sink) = base::prometheus_client("poplar");
-    let context = GatewayContext::new(settings, format, metrics, signals.stop.watch());
+    let context = GatewayContext::new(settings, format, metrics, SignalWatch::new(&signals.stop));
     tracing::info!(
         unit = "run",
         event = "started",
@@ -57,6 +57,7 @@
         callers = %context.settings.listen.callers,
         seeds = ?context.settings.seeds,
     );
+    signals.inherited.log();
     let life = ProcessLife::new(context, signals.stop);
     let start = async move |context: &Arc<GatewayContext>| {
         start_heartbeats(context).await?;
--- a/crates/gateway/src/signals.rs
+++ b/crates/gateway/src/signals.rs
@@ -1,40 +1,23 @@
 //! Signals to the process.
 
-use std::io::{self, ErrorKind};
-use std::os::unix::net::UnixStream;
+use std::io;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use base::Millis;
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use nix::sys::signal::Signal;
+use process::{CaughtSignal, InheritedSignals, catch_signals};
 
 /// Longest time in milliseconds for which a thread that has taken a signal may not yet have run
 /// its handler.
 const HANDLER_DELAY_MS: Millis = 100;
 
-/// Signals that the process catches. To be installed first in `main`: until then they end the
-/// process at once.
+/// Signals that the process catches. To be installed first in `main`.
 #[derive(Debug)]
 pub struct ProcessSignals {
     pub(crate) stop: CaughtSignal,
     pub(crate) reload: CaughtSignal,
-}
-
-/// A signal that is caught, whether or not anything waits for it yet.
-#[derive(Debug)]
-pub(crate) struct CaughtSignal {
-    /// Set by the handler.
-    is_caught: Arc<AtomicBool>,
-    /// Has a byte for signals that came after `is_caught` was registered. The handler sets the flag
-    /// first, so whoever finds no flag finds the byte.
-    receiver: UnixStream,
-}
-
-/// Receives a signal on the current thread.
-#[derive(Debug)]
-pub(crate) struct SignalReceiver {
-    is_caught: Arc<AtomicBool>,
-    receiver: tokio::net::UnixStream,
+    pub(crate) inherited: InheritedSignals,
 }
 
 impl ProcessSignals {
@@ -43,73 +26,9 @@
     /// # Errors
     /// Returns an error if a handler can't be installed.
     pub fn install() -> io::Result<Self> {
-        base::install_handlers(&[SIGHUP, SIGTERM, SIGINT], || {
-            let reload = CaughtSignal::install(&[SIGHUP])?;
-            Ok(Self { stop: CaughtSignal::install(&[SIGTERM, SIGINT])?, reload })
-        })
-    }
-}
-
-impl CaughtSignal {
-    fn install(numbers: &[i32]) -> io::Result<Self> {
-        let is_caught = Arc::new(AtomicBool::new(false));
-        let (receiver, sender) = UnixStream::pair()?;
-        receiver.set_nonblocking(true)?;
-        for number in numbers {
-            signal_hook::flag::register(*number, Arc::clone(&is_caught))?;
-            signal_hook::low_level::pipe::register(*number, sender.try_clone()?)?;
-        }
-        Ok(Self { is_caught, receiver })
-    }
-
-    pub(crate) fn is_caught(&self) -> bool {
-        self.is_caught.load(Ordering::SeqCst)
-    }
-
-    /// Returns the watch of a signal that has not come before the time 0 of its clock.
-    pub(crate) fn watch(&self) -> SignalWatch {
-        SignalWatch { is_caught: Arc::clone(&self.is_caught), ..SignalWatch::default() }
-    }
-
-    /// Receives the signal on the current thread.
-    ///
-    /// # Errors
-    /// Returns an error if the thread has no reactor, or no room in it.
-    pub(crate) fn receive(self) -> io::Result<SignalReceiver> {
-        let receiver = tokio::net::UnixStream::from_std(self.receiver)?;
-        Ok(SignalReceiver { is_caught: self.is_caught, receiver })
-    }
-}
-
-impl SignalReceiver {
-    /// Waits until a signal has come since the handler was installed.
-    ///
-    /// # Errors
-    /// Returns an error if the reactor is gone.
-    pub(crate) async fn first(&self) -> io::Result<()> {
-        while !self.is_caught.load(Ordering::SeqCst) {
-            self.receiver.readable().await?;
-            self.discard_bytes()?;
-        }
-        Ok(())
-    }
-
-    /// Waits until a signal has come since the last call, or since the handler was installed.
-    ///
-    /// # Errors
-    /// Returns an error if the reactor is gone.
-    pub(crate) async fn next(&self) -> io::Result<()> {
-        self.first().await?;
-        self.is_caught.store(false, Ordering::SeqCst);
-        Ok(())
-    }
-
-    fn discard_bytes(&self) -> io::Result<()> {
-        let mut buffer = [0; 64];
-        match self.receiver.try_read(&mut buffer) {
-            Err(cause) if cause.kind() != ErrorKind::WouldBlock => Err(cause),
-            _ => Ok(()),
-        }
+        let groups: [&[Signal]; 2] = [&[Signal::SIGTERM, Signal::SIGINT], &[Signal::SIGHUP]];
+        let (inherited, [stop, reload]) = catch_signals(groups)?;
+        Ok(Self { stop, reload, inherited })
     }
 }
 
@@ -128,6 +47,11 @@
 }
 
 impl SignalWatch {
+    /// Returns the watch of a signal that has not come before the time 0 of its clock.
+    pub(crate) fn new(signal: &CaughtSignal) -> Self {
+        Self { is_caught: signal.flag(), ..Self::default() }
+    }
+
     /// Checks whether the signal has arrived.
     pub(crate) fn check(&self, now: Millis) {
         if !self.is_caught.load(Ordering::SeqCst) {
--- /dev/null
+++ b/crates/process/src/caught.rs
@@ -0,0 +1,109 @@
+//! Signals that are caught from the start of a process.
+
+use std::io::{self, ErrorKind};
+use std::os::unix::net::UnixStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use nix::sys::signal::{SigSet, SigmaskHow, Signal};
+
+use crate::inherited::InheritedSignals;
+
+/// Signals that are caught together, whether or not anything waits for them yet.
+#[derive(Debug)]
+pub struct CaughtSignal {
+    /// Set by the handler.
+    is_caught: Arc<AtomicBool>,
+    /// Has a byte for signals that came after `is_caught` was registered. The handler sets the flag
+    /// first, so whoever finds no flag finds the byte.
+    receiver: UnixStream,
+}
+
+/// Receives signals on the current thread.
+#[derive(Debug)]
+pub struct SignalReceiver {
+    is_caught: Arc<AtomicBool>,
+    receiver: tokio::net::UnixStream,
+}
+
+/// Catches each group of signals. To be called first in `main`, while the process has no other
+/// thread: until then the signals have the action that the starter of the process left.
+///
+/// # Errors
+/// Returns an error if a handler can't be installed.
+pub fn catch_signals<const N: usize>(
+    groups: [&[Signal]; N],
+) -> io::Result<(InheritedSignals, [CaughtSignal; N])> {
+    let signals = groups.concat();
+    let blocked: SigSet = signals.iter().copied().collect();
+    // A signal that comes while its handlers are installed waits until they are complete.
+    let before = blocked.thread_swap_mask(SigmaskHow::SIG_BLOCK)?;
+    let inherited = InheritedSignals::read(signals, &before);
+    let caught: io::Result<Vec<_>> = groups.into_iter().map(CaughtSignal::install).collect();
+    before.thread_set_mask()?;
+    let caught = caught?.try_into();
+    Ok((inherited, caught.map_err(|_| io::Error::other("a group has no handler"))?))
+}
+
+impl CaughtSignal {
+    fn install(signals: &[Signal]) -> io::Result<Self> {
+        let is_caught = Arc::new(AtomicBool::new(false));
+        let (receiver, sender) = UnixStream::pair()?;
+        receiver.set_nonblocking(true)?;
+        for signal in signals {
+            signal_hook::flag::register(*signal as i32, Arc::clone(&is_caught))?;
+            signal_hook::low_level::pipe::register(*signal as i32, sender.try_clone()?)?;
+        }
+        Ok(Self { is_caught, receiver })
+    }
+
+    /// Returns the flag that a handler sets.
+    pub fn flag(&self) -> Arc<AtomicBool> {
+        Arc::clone(&self.is_caught)
+    }
+
+    pub fn is_caught(&self) -> bool {
+        self.is_caught.load(Ordering::SeqCst)
+    }
+
+    /// Receives the signals on the current thread.
+    ///
+    /// # Errors
+    /// Returns an error if the thread has no reactor, or no room in it.
+    pub fn receive(self) -> io::Result<SignalReceiver> {
+        let receiver = tokio::net::UnixStream::from_std(self.receiver)?;
+        Ok(SignalReceiver { is_caught: self.is_caught, receiver })
+    }
+}
+
+impl SignalReceiver {
+    /// Waits until a signal has come since the handler was installed.
+    ///
+    /// # Errors
+    /// Returns an error if the reactor is gone.
+    pub async fn first(&self) -> io::Result<()> {
+        while !self.is_caught.load(Ordering::SeqCst) {
+            self.receiver.readable().await?;
+            self.discard_bytes()?;
+        }
+        Ok(())
+    }
+
+    /// Waits until a signal has come since the last call, or since the handler was installed.
+    ///
+    /// # Errors
+    /// Returns an error if the reactor is gone.
+    pub async fn next(&self) -> io::Result<()> {
+        self.first().await?;
+        self.is_caught.store(false, Ordering::SeqCst);
+        Ok(())
+    }
+
+    fn discard_bytes(&self) -> io::Result<()> {
+        let mut buffer = [0; 64];
+        match self.receiver.try_read(&mut buffer) {
+            Err(cause) if cause.kind() != ErrorKind::WouldBlock => Err(cause),
+            _ => Ok(()),
+        }
+    }
+}
