--- a/crates/process/src/caught.rs
+++ b/crates/process/src/caught.rs
@@ -26,8 +26,9 @@
     receiver: tokio::net::UnixStream,
 }
 
-/// Catches each group of signals. To be called first in `main`, while the process has no other
-/// thread: until then the signals have the action that the starter of the process left.
+/// Catches each group of signals, also those that the starter of the process blocked or ignored. To
+/// be called first in `main`, while the process has no other thread: until then the signals have
+/// the action that the starter left.
 ///
 /// # Errors
 /// Returns an error if a handler can't be installed.
@@ -36,11 +37,13 @@
 ) -> io::Result<(InheritedSignals, [CaughtSignal; N])> {
     let signals = groups.concat();
     let blocked: SigSet = signals.iter().copied().collect();
-    // A signal that comes while its handlers are installed waits until they are complete.
+    // A signal that comes while its handlers are installed waits until they are complete. While it
+    // is blocked, it is kept even if it is ignored.
     let before = blocked.thread_swap_mask(SigmaskHow::SIG_BLOCK)?;
     let inherited = InheritedSignals::read(signals, &before);
     let caught: io::Result<Vec<_>> = groups.into_iter().map(CaughtSignal::install).collect();
-    before.thread_set_mask()?;
+    // Threads that start later inherit this mask, not the one of the starter.
+    blocked.thread_unblock()?;
     let caught = caught?.try_into();
     Ok((inherited, caught.map_err(|_| io::Error::other("a group has no handler"))?))
 }
