--- a/crates/bench/tests/processes/main.rs
+++ b/crates/bench/tests/processes/main.rs
@@ -10,4 +10,5 @@
 mod old_callers;
 mod slow_readers;
 mod stop;
+mod stop_inherited;
 mod truncation;
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -40,20 +40,19 @@
 /// # Errors
 /// Returns an error if the settings are invalid or an address is in use.
 pub fn run() -> anyhow::Result<()> {
-    ntex::rt::System::new("router", ntex::rt::DefaultRuntime).block_on(async {
-        // Until then a signal ends the process at once, so nothing is read or listens before.
-        let signals = StopSignals::subscribe()?;
-        let args = parse_args();
-        let settings: RouterSettings = base::load_settings(&args.settings)?;
-        settings.check()?;
-        if args.print_config {
-            let redacted = RouterSettings { secret: "(hidden)".into(), ..settings };
-            println!("{}", serde_json::to_string_pretty(&redacted)?);
-            return Ok(());
-        }
-        base::init_logs(&settings.log);
-        serve(settings, signals).await
-    })
+    let signals = StopSignals::install()?;
+    let args = parse_args();
+    let settings: RouterSettings = base::load_settings(&args.settings)?;
+    settings.check()?;
+    if args.print_config {
+        let redacted = RouterSettings { secret: "(hidden)".into(), ..settings };
+        println!("{}", serde_json::to_string_pretty(&redacted)?);
+        return Ok(());
+    }
+    base::init_logs(&settings.log);
+    signals.inherited.log();
+    let system = ntex::rt::System::new("router", ntex::rt::DefaultRuntime);
+    system.block_on(serve(settings, signals))
 }
 
 fn parse_args() -> RouterArgs {
@@ -64,7 +63,8 @@
     args.to_options().descr("Router daemon of poplarspring").run()
 }
 
-async fn serve(settings: RouterSettings, mut signals: StopSignals) -> anyhow::Result<()> {
+async fn serve(settings: RouterSettings, signals: StopSignals) -> anyhow::Result<()> {
+    let signals = signals.receive()?;
     let metrics = base::metrics_client("poplar.router", settings.metrics)?;
     let context = RouterContext::new(settings, metrics);
     context.mark_control_thread();
@@ -88,10 +88,13 @@
     ntex::rt::spawn(run_granting(Arc::clone(&context), peers));
     ntex::rt::spawn(run_load_polling(Arc::clone(&context), TargetClient));
     ntex::rt::spawn(run_placement(Arc::clone(&context), TargetClient));
-    signals.first().await;
+    signals.first().await?;
     tokio::select! {
         () = drain(&context) => {}
-        () = signals.second() => log_unfinished_requests(&context, "second signal", None),
+        received = signals.second() => {
+            log_unfinished_requests(&context, "second signal", None);
+            received?;
+        }
     }
     context.stop.cancel();
     peer_server.stop(false).await;
--- a/crates/router/src/signals.rs
+++ b/crates/router/src/signals.rs
@@ -2,35 +2,62 @@
 
 use std::io;
 
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use nix::sys::signal::Signal;
+use process::{CaughtSignal, InheritedSignals, SignalReceiver, catch_signals};
 
-/// Signals that stop the process, caught since they were subscribed to.
+/// Signals that the process catches. To be installed first in `main`.
 #[derive(Debug)]
 pub(crate) struct StopSignals {
-    terminate: Signal,
-    interrupt: Signal,
+    terminate: CaughtSignal,
+    interrupt: CaughtSignal,
+    pub(crate) inherited: InheritedSignals,
+}
+
+/// Receives the signals on the current thread.
+#[derive(Debug)]
+pub(crate) struct StopReceiver {
+    terminate: SignalReceiver,
+    interrupt: SignalReceiver,
 }
 
 impl StopSignals {
-    /// Catches the signals from now on. Those that come before they are awaited are kept.
+    /// Installs the handlers.
     ///
     /// # Errors
     /// Returns an error if a handler can't be installed.
-    pub(crate) fn subscribe() -> io::Result<Self> {
-        let terminate = signal(SignalKind::terminate())?;
-        Ok(Self { terminate, interrupt: signal(SignalKind::interrupt())? })
+    pub(crate) fn install() -> io::Result<Self> {
+        let groups: [&[Signal]; 2] = [&[Signal::SIGTERM], &[Signal::SIGINT]];
+        let (inherited, [terminate, interrupt]) = catch_signals(groups)?;
+        Ok(Self { terminate, interrupt, inherited })
+    }
+
+    /// Receives the signals on the current thread, also those that have come before.
+    ///
+    /// # Errors
+    /// Returns an error if the thread has no reactor, or no room in it.
+    pub(crate) fn receive(self) -> io::Result<StopReceiver> {
+        let terminate = self.terminate.receive()?;
+        Ok(StopReceiver { terminate, interrupt: self.interrupt.receive()? })
     }
+}
 
+impl StopReceiver {
     /// Waits until the process is told to drain.
-    pub(crate) async fn first(&mut self) {
+    ///
+    /// # Errors
+    /// Returns an error if the reactor is gone.
+    pub(crate) async fn first(&self) -> io::Result<()> {
         tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
+            received = self.terminate.next() => received,
+            received = self.interrupt.next() => received,
         }
     }
 
     /// Waits until the process is told to end its drain.
-    pub(crate) async fn second(&mut self) {
-        self.terminate.recv().await;
+    ///
+    /// # Errors
+    /// Returns an error if the reactor is gone.
+    pub(crate) async fn second(&self) -> io::Result<()> {
+        self.terminate.next().await
     }
 }
