--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -27,6 +27,7 @@
 use crate::serve;
 use crate::settings::GatewaySettings;
 use crate::signals::{ProcessSignals, SignalWatch};
+use crate::stop;
 
 /// Time after which an idle connection of a caller is closed: longer than any
 /// caller keeps one for reuse.
@@ -46,6 +47,7 @@
     source: S,
 ) -> anyhow::Result<()> {
     settings.check()?;
+    signals.timer.limit(stop::forced_exit_limit(&settings));
     let _guard = base::init_stdout_logs(&settings.log);
     let (metrics, metrics_sink) = base::prometheus_client("poplar");
     let context = GatewayContext::new(settings, format, metrics, SignalWatch::new(&signals.stop));
--- a/crates/gateway/src/signals.rs
+++ b/crates/gateway/src/signals.rs
@@ -6,7 +6,7 @@
 
 use base::Millis;
 use nix::sys::signal::Signal;
-use process::{CaughtSignal, InheritedSignals, catch_signals};
+use process::{CaughtSignal, CaughtSignals, ExitTimer, InheritedSignals, catch_signals};
 
 /// Longest time in milliseconds for which a thread that has taken a signal may not yet have run
 /// its handler.
@@ -18,6 +18,7 @@
     pub(crate) stop: CaughtSignal,
     pub(crate) reload: CaughtSignal,
     pub(crate) inherited: InheritedSignals,
+    pub(crate) timer: ExitTimer,
 }
 
 impl ProcessSignals {
@@ -26,9 +27,10 @@
     /// # Errors
     /// Returns an error if a handler can't be installed.
     pub fn install() -> io::Result<Self> {
-        let groups: [&[Signal]; 2] = [&[Signal::SIGTERM, Signal::SIGINT], &[Signal::SIGHUP]];
-        let (inherited, [stop, reload]) = catch_signals(groups)?;
-        Ok(Self { stop, reload, inherited })
+        let stops = &[Signal::SIGTERM, Signal::SIGINT];
+        let CaughtSignals { groups: [stop, reload], inherited, timer } =
+            catch_signals([stops, &[Signal::SIGHUP]], stops)?;
+        Ok(Self { stop, reload, inherited, timer })
     }
 }
 
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -8,6 +8,7 @@
 
 use crate::context::{GatewayContext, millis};
 use crate::serve;
+use crate::settings::GatewaySettings;
 
 /// Callers may use an address response for this many times its lease.
 const USABLE_LEASES: f64 = 3.0;
@@ -15,12 +16,21 @@
 const EXIT_MARGIN_MS: u64 = 500;
 /// Requests without a response are answered this long before the exit, in milliseconds.
 const ANSWER_MARGIN_MS: u64 = 200;
+/// The process ends this long before it would be killed, whatever it does. It has tried to exit by
+/// itself before.
+const FORCED_EXIT_MARGIN: Duration = Duration::from_millis(100);
 /// Longest time for which the exit waits until requests that it cuts are reported.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(200);
 const REPORT_POLL_PERIOD: Duration = Duration::from_millis(5);
 /// Least time between two lines on the progress of a drain, in milliseconds.
 const PROGRESS_PERIOD_MS: Millis = 1_000;
 
+/// Returns the time after the signal at which a process ends that has not stopped by itself.
+pub(crate) fn forced_exit_limit(settings: &GatewaySettings) -> Duration {
+    let kill = Duration::from_millis(millis(settings.bounds.stop_s));
+    kill.saturating_sub(FORCED_EXIT_MARGIN)
+}
+
 /// Drains the router. It is withdrawn from address responses and reports that it is not ready,
 /// but still serves requests until callers have had time to move to other routers. After that
 /// it accepts only requests that end before its exit, and exits once there are none.
--- a/crates/process/src/caught.rs
+++ b/crates/process/src/caught.rs
@@ -8,6 +8,7 @@
 use nix::sys::signal::{SigSet, SigmaskHow, Signal};
 
 use crate::inherited::InheritedSignals;
+use crate::timer::ExitTimer;
 
 /// Signals that are caught together, whether or not anything waits for them yet.
 #[derive(Debug)]
@@ -26,15 +27,25 @@
     receiver: tokio::net::UnixStream,
 }
 
-/// Catches each group of signals, also those that the starter of the process blocked or ignored. To
-/// be called first in `main`, while the process has no other thread: until then the signals have
-/// the action that the starter left.
+/// What a process catches, from the start of its `main` on.
+#[derive(Debug)]
+pub struct CaughtSignals<const N: usize> {
+    pub groups: [CaughtSignal; N],
+    pub inherited: InheritedSignals,
+    /// Ends the process if it does not stop by itself.
+    pub timer: ExitTimer,
+}
+
+/// Catches each group of signals, also those that the starter of the process blocked or ignored.
+/// Those of `stops` are the ones that stop the process. To be called first in `main`, while the
+/// process has no other thread: until then the signals have the action that the starter left.
 ///
 /// # Errors
-/// Returns an error if a handler can't be installed.
+/// Returns an error if a handler can't be installed, or a thread can't be started.
 pub fn catch_signals<const N: usize>(
     groups: [&[Signal]; N],
-) -> io::Result<(InheritedSignals, [CaughtSignal; N])> {
+    stops: &[Signal],
+) -> io::Result<CaughtSignals<N>> {
     let signals = groups.concat();
     let blocked: SigSet = signals.iter().copied().collect();
     // A signal that comes while its handlers are installed waits until they are complete. While it
@@ -42,10 +53,11 @@
     let before = blocked.thread_swap_mask(SigmaskHow::SIG_BLOCK)?;
     let inherited = InheritedSignals::read(signals, &before);
     let caught: io::Result<Vec<_>> = groups.into_iter().map(CaughtSignal::install).collect();
+    let timer = ExitTimer::start(stops)?;
     // Threads that start later inherit this mask, not the one of the starter.
     blocked.thread_unblock()?;
-    let caught = caught?.try_into();
-    Ok((inherited, caught.map_err(|_| io::Error::other("a group has no handler"))?))
+    let groups = caught?.try_into().map_err(|_| io::Error::other("a group has no handler"))?;
+    Ok(CaughtSignals { groups, inherited, timer })
 }
 
 impl CaughtSignal {
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -3,7 +3,9 @@
 mod caught;
 mod inherited;
 mod status;
+mod timer;
 
-pub use caught::{CaughtSignal, SignalReceiver, catch_signals};
+pub use caught::{CaughtSignal, CaughtSignals, SignalReceiver, catch_signals};
 pub use inherited::InheritedSignals;
-pub use status::SignalStatus;
+pub use status::{SignalMask, SignalStatus};
+pub use timer::ExitTimer;
--- a/crates/process/src/status.rs
+++ b/crates/process/src/status.rs
@@ -97,6 +97,19 @@
     }
 }
 
+/// Describes what each thread of this process does: its name, its state, and in which function of the
+/// system it waits, if that is reported.
+pub(crate) fn describe_threads() -> String {
+    let Ok(threads) = std::fs::read_dir("/proc/self/task") else { return String::new() };
+    let describe_thread = |thread: std::fs::DirEntry| {
+        let read = |name| std::fs::read_to_string(thread.path().join(name)).unwrap_or_default();
+        let status = read("status");
+        let state = status.lines().find_map(|line| line.strip_prefix("State:")).unwrap_or_default();
+        format!("{}: {} {}", read("comm").trim(), state.trim(), read("wchan").trim())
+    };
+    threads.flatten().map(describe_thread).collect::<Vec<_>>().join(", ")
+}
+
 impl fmt::Display for SignalStatus {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self { pending, blocked, ignored, caught } = self;
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::time::Duration;
 
 use admit::{OpenCounts, StopCycle, StopPlan, StopSettings, StopStep};
 use base::Millis;
@@ -30,6 +31,9 @@
 /// with refusals meanwhile, so that peers and callers learn of the drain.
 const DRAIN_NOTICE_MS: Millis = 1_000;
 
+/// Time after `drain_ms` at which the process ends, whatever it does.
+const EXIT_TIME: Duration = Duration::from_secs(1);
+
 struct RouterArgs {
     settings: PathBuf,
     print_config: bool,
@@ -49,6 +53,7 @@
         println!("{}", serde_json::to_string_pretty(&redacted)?);
         return Ok(());
     }
+    signals.timer.limit(Duration::from_millis(settings.drain_ms) + EXIT_TIME);
     base::init_logs(&settings.log);
     signals.inherited.log();
     let system = ntex::rt::System::new("router", ntex::rt::DefaultRuntime);
--- a/crates/router/src/signals.rs
+++ b/crates/router/src/signals.rs
@@ -3,7 +3,9 @@
 use std::io;
 
 use nix::sys::signal::Signal;
-use process::{CaughtSignal, InheritedSignals, SignalReceiver, catch_signals};
+use process::{
+    CaughtSignal, CaughtSignals, ExitTimer, InheritedSignals, SignalReceiver, catch_signals,
+};
 
 /// Signals that the process catches. To be installed first in `main`.
 #[derive(Debug)]
@@ -11,6 +13,7 @@
     terminate: CaughtSignal,
     interrupt: CaughtSignal,
     pub(crate) inherited: InheritedSignals,
+    pub(crate) timer: ExitTimer,
 }
 
 /// Receives the signals on the current thread.
@@ -27,8 +30,9 @@
     /// Returns an error if a handler can't be installed.
     pub(crate) fn install() -> io::Result<Self> {
         let groups: [&[Signal]; 2] = [&[Signal::SIGTERM], &[Signal::SIGINT]];
-        let (inherited, [terminate, interrupt]) = catch_signals(groups)?;
-        Ok(Self { terminate, interrupt, inherited })
+        let CaughtSignals { groups: [terminate, interrupt], inherited, timer } =
+            catch_signals(groups, &groups.concat())?;
+        Ok(Self { terminate, interrupt, inherited, timer })
     }
 
     /// Receives the signals on the current thread, also those that have come before.
