--- a/crates/admit/src/stop.rs
+++ b/crates/admit/src/stop.rs
@@ -24,6 +24,7 @@
 /// is late makes them later than the sender of the signal allows.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StopPlan {
+    unsignalled_at: Millis,
     /// Until then every request is accepted.
     accepts_until: Millis,
     /// When requests without a response are answered. Invariant: not after `exits_at`.
@@ -36,12 +37,18 @@
     pub fn new(unsignalled_at: Millis, settings: &StopSettings) -> Self {
         let exits_at = unsignalled_at + settings.kill_ms.saturating_sub(settings.exit_margin_ms);
         Self {
+            unsignalled_at,
             accepts_until: unsignalled_at + settings.notice_ms,
             ends_at: exits_at.saturating_sub(settings.answer_margin_ms),
             exits_at,
         }
     }
 
+    /// Returns the time that all others are counted from.
+    pub fn unsignalled_at(&self) -> Millis {
+        self.unsignalled_at
+    }
+
     /// Whether a request is accepted whose last byte was read at `read_at` at the latest and that
     /// times out at `expires_at`. After the notice it has to end before the exit.
     pub fn accepts(&self, read_at: Millis, expires_at: Millis) -> bool {
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -34,6 +34,7 @@
 use crate::sampling::LogSampler;
 use crate::settings::GatewaySettings;
 use crate::signals::SignalWatch;
+use crate::stop;
 use crate::streams::{OpenStreams, OriginExchange};
 
 /// Progress in reading the configuration source.
@@ -377,11 +378,18 @@
         lock(&self.refusal_log_sampler)
     }
 
-    /// Marks this router as stopping by `plan` and informs its peers at once. A further call has no
-    /// effect.
-    pub(crate) fn start_draining(&self, plan: StopPlan) {
-        self.stop_plan.get_or_init(|| plan);
-        self.heartbeat_now.notify_one();
+    /// Returns the plan by which this router stops, if the signal has come.
+    pub(crate) fn stop_plan(&self) -> Option<StopPlan> {
+        self.signal_watch.is_caught().then(|| self.start_stop())
+    }
+
+    /// Returns the plan by which this router stops. The first call makes it and informs peers at
+    /// once.
+    pub(crate) fn start_stop(&self) -> StopPlan {
+        *self.stop_plan.get_or_init(|| {
+            self.heartbeat_now.notify_one();
+            stop::plan_stop(&self.settings, self.signal_watch.unsignalled_at())
+        })
     }
 
     /// Whether the process exits, whatever is open.
@@ -390,13 +398,13 @@
     }
 
     pub(crate) fn is_draining(&self) -> bool {
-        self.stop_plan.get().is_some()
+        self.stop_plan().is_some()
     }
 
     /// Whether a request that was read at `read_at` and times out at `expires_at` is accepted by
     /// this router, which may be stopping.
     pub(crate) fn accepts(&self, read_at: Millis, expires_at: Millis) -> bool {
-        self.stop_plan.get().is_none_or(|plan| plan.accepts(read_at, expires_at))
+        self.stop_plan().is_none_or(|plan| plan.accepts(read_at, expires_at))
     }
 
     /// Whether responses close their connections: the router drains, or it is saturated
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -9,6 +9,7 @@
 use crate::beats::{ALL_FETCHES, send_source_notice};
 use crate::context::GatewayContext;
 use crate::platform::{SourceError, StateSource};
+use crate::stop;
 use crate::view::{UpdateOrigin, apply_update};
 
 /// Longest time that a read waits for changes: short enough that a read without
@@ -138,7 +139,7 @@
 async fn watch_control_lateness(context: Arc<GatewayContext>) {
     while !context.shutdown.is_cancelled() {
         let now = context.now();
-        context.signal_watch.check(now);
+        stop::check_signal(&context);
         let pause_ms = context.control_lateness().tick(now);
         tokio::time::sleep(Duration::from_millis(pause_ms)).await;
     }
--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use admit::StopPlan;
 use ntex::server::Server;
 use process::{CaughtSignal, SignalReceiver};
 
@@ -24,6 +25,7 @@
 /// The router leaves, and still serves what comes.
 #[derive(Debug)]
 pub(crate) struct Draining {
+    plan: StopPlan,
     server: Server,
 }
 
@@ -83,15 +85,17 @@
     /// Returns an error if the signal can't be received.
     pub(crate) async fn wait_for_stop(self) -> anyhow::Result<ProcessLife<Draining>> {
         self.state.signal.first().await?;
-        let Serving { server, .. } = self.state;
-        Ok(ProcessLife { context: self.context, state: Draining { server } })
+        let Self { context, state: Serving { server, .. } } = self;
+        stop::check_signal(&context);
+        let state = Draining { plan: context.start_stop(), server };
+        Ok(ProcessLife { context, state })
     }
 }
 
 impl ProcessLife<Draining> {
     pub(crate) async fn drain(self) -> ProcessLife<Closed> {
-        stop::drain(&self.context).await;
-        let Draining { server } = self.state;
+        let Draining { plan, server } = self.state;
+        stop::drain(&self.context, plan).await;
         ProcessLife { context: self.context, state: Closed { server: Some(server) } }
     }
 }
--- a/crates/gateway/src/signals.rs
+++ b/crates/gateway/src/signals.rs
@@ -54,9 +54,13 @@
         Self { is_caught: signal.flag(), ..Self::default() }
     }
 
-    /// Checks whether the signal has arrived.
+    pub(crate) fn is_caught(&self) -> bool {
+        self.is_caught.load(Ordering::SeqCst)
+    }
+
+    /// Checks whether the signal has arrived. Several threads may do so.
     pub(crate) fn check(&self, now: Millis) {
-        if !self.is_caught.load(Ordering::SeqCst) {
+        if !self.is_caught() {
             let checked_at = self.checked_at.load(Ordering::SeqCst);
             if now.saturating_sub(checked_at) >= HANDLER_DELAY_MS {
                 self.unsignalled_at.store(checked_at, Ordering::SeqCst);
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -19,6 +19,9 @@
 /// The process ends this long before it would be killed, whatever it does. It has tried to exit by
 /// itself before.
 const FORCED_EXIT_MARGIN: Duration = Duration::from_millis(100);
+/// Requests that are open are cut this long after the exit time, in milliseconds, if the exit itself is
+/// late: then nothing has counted them.
+const CUT_DELAY_MS: Millis = 200;
 /// Longest time for which the exit waits until requests that it cuts are reported.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(200);
 const REPORT_POLL_PERIOD: Duration = Duration::from_millis(5);
@@ -31,21 +34,37 @@
     kill.saturating_sub(FORCED_EXIT_MARGIN)
 }
 
-/// Drains the router. It is withdrawn from address responses and reports that it is not ready,
-/// but still serves requests until callers have had time to move to other routers. After that
-/// it accepts only requests that end before its exit, and exits once there are none.
-pub(crate) async fn drain(context: &Arc<GatewayContext>) {
+/// Starts the stop if its signal has come, and ends requests when the plan says so. Both threads call
+/// it, so that neither depends on the other for what it accepts.
+pub(crate) fn check_signal(context: &GatewayContext) {
+    let now = context.now();
+    context.signal_watch.check(now);
+    let Some(plan) = context.stop_plan() else { return };
+    if plan.is_ended(now) {
+        context.ending.cancel();
+    }
+    if plan.exit_in_ms(now.saturating_sub(CUT_DELAY_MS)) == 0 {
+        context.exiting.cancel();
+    }
+}
+
+/// Returns the plan of a stop whose signal had not been sent at `unsignalled_at`.
+pub(crate) fn plan_stop(settings: &GatewaySettings, unsignalled_at: Millis) -> StopPlan {
     let settings = StopSettings {
         notice_ms: millis(serve::ADDRESS_LEASE_S * USABLE_LEASES),
-        kill_ms: millis(context.settings.bounds.stop_s),
+        kill_ms: millis(settings.bounds.stop_s),
         exit_margin_ms: EXIT_MARGIN_MS,
         answer_margin_ms: ANSWER_MARGIN_MS,
     };
-    context.signal_watch.check(context.now());
-    let unsignalled_at = context.signal_watch.unsignalled_at();
-    let plan = StopPlan::new(unsignalled_at, &settings);
+    StopPlan::new(unsignalled_at, &settings)
+}
+
+/// Drains the router by its plan. It is withdrawn from address responses and reports that it is not
+/// ready, but still serves requests until callers have had time to move to other routers. After
+/// that it accepts only requests that end before its exit, and exits once there are none.
+pub(crate) async fn drain(context: &Arc<GatewayContext>, plan: StopPlan) {
+    let unsignalled_at = plan.unsignalled_at();
     let noticed_ms = context.now().saturating_sub(unsignalled_at);
-    context.start_draining(plan);
     tracing::info!(unit = "run", event = "drain", open = context.open_calls(), noticed_ms);
     let mut cycle = StopCycle::new(plan);
     let mut is_notice_over = false;
--- a/crates/gateway/src/worker.rs
+++ b/crates/gateway/src/worker.rs
@@ -17,6 +17,7 @@
 
 use crate::call::RoutedCall;
 use crate::context::GatewayContext;
+use crate::stop;
 
 /// Time to open a connection to a target: allows for a round trip between failure
 /// domains and one lost packet.
@@ -180,6 +181,7 @@
             (lateness.tick(now), lateness.late_ms(now))
         };
         let connections = context.open_connections();
+        stop::check_signal(context);
         if context.is_draining() {
             context.open.set_unwritten_connections(worker.connections.unwritten_connections());
         }
