--- a/crates/base/src/logs.rs
+++ b/crates/base/src/logs.rs
@@ -1,5 +1,7 @@
 //! Logs: one line of key=value pairs for each event.
 
+use std::io::Write;
+
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
@@ -12,24 +14,24 @@
     EnvFilter::try_new(level).unwrap_or_else(|_| EnvFilter::new("info"))
 }
 
-/// Starts logging on standard error. `level` is a level such as `info`, or a list
-/// of filter directives.
-pub fn init_logs(level: &str) {
-    // A second call in one process keeps the first subscriber.
-    let _ = tracing_subscriber::fmt()
-        .with_env_filter(filter(level))
-        .with_ansi(false)
-        .with_writer(std::io::stderr)
-        .try_init();
+/// Starts logging on standard error. `level` is a level such as `info`, or a list of filter
+/// directives. A log that is not read never blocks the caller; lines that wait are written when the
+/// guard is dropped.
+pub fn init_stderr_logs(level: &str) -> WorkerGuard {
+    init_logs(level, std::io::stderr())
 }
 
-/// Like [`init_logs`], but on standard output and without ever blocking the
-/// caller. Waiting lines are written when the guard is dropped.
+/// Like [`init_stderr_logs`], but on standard output.
 pub fn init_stdout_logs(level: &str) -> WorkerGuard {
+    init_logs(level, std::io::stdout())
+}
+
+fn init_logs(level: &str, output: impl Write + Send + 'static) -> WorkerGuard {
     let (writer, guard) = NonBlockingBuilder::default()
         .lossy(true)
         .buffered_lines_limit(MAX_WAITING_LINES)
-        .finish(std::io::stdout());
+        .finish(output);
+    // A second call in one process keeps the first subscriber.
     let _ = tracing_subscriber::fmt()
         .with_env_filter(filter(level))
         .with_ansi(false)
--- a/crates/bench/tests/processes/main.rs
+++ b/crates/bench/tests/processes/main.rs
@@ -11,4 +11,5 @@
 mod slow_readers;
 mod stop;
 mod stop_inherited;
+mod stop_unread_log;
 mod truncation;
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -54,7 +54,7 @@
         return Ok(());
     }
     signals.timer.limit(Duration::from_millis(settings.drain_ms) + EXIT_TIME);
-    base::init_logs(&settings.log);
+    let _guard = base::init_stderr_logs(&settings.log);
     signals.inherited.log();
     let system = ntex::rt::System::new("router", ntex::rt::DefaultRuntime);
     system.block_on(serve(settings, signals))
--- a/crates/standin/src/cli.rs
+++ b/crates/standin/src/cli.rs
@@ -19,7 +19,7 @@
 /// Returns an error if a listening address is already in use.
 pub fn run() -> anyhow::Result<()> {
     let command = parser().run();
-    base::init_logs("warn");
+    let _guard = base::init_stderr_logs("warn");
     ntex::rt::System::new("standin", ntex::rt::DefaultRuntime).block_on(async move {
         match command {
             Command::Platform(listen) => config::serve(listen).await,
