router: SIGHUP drains it (LOST)

What callers saw: a router that got SIGHUP ended at once and cut what was open.

Cause: no handler. There is nothing to reload, so its default action held.

Change: SIGHUP drains like SIGINT, unless the starter ignores it, as `nohup` does. To know that before handlers are installed, `process` takes signals in two steps: `BlockedSignals`, then `CaughtSignals`.

--- a/crates/bench/src/launch.rs
+++ b/crates/bench/src/launch.rs
@@ -472,7 +472,10 @@
 
 /// Returns the path of a workspace binary, which is in the folder of the current
 /// executable or in the parent of that folder.
-fn binary_path(name: &str) -> anyhow::Result<PathBuf> {
+///
+/// # Errors
+/// Returns an error if it is not built there.
+pub fn binary_path(name: &str) -> anyhow::Result<PathBuf> {
     let current_exe = std::env::current_exe()?;
     let folders = current_exe.ancestors().skip(1).take(2);
     let found = folders.map(|folder| folder.join(name)).find(|path| path.exists());
--- a/crates/bench/tests/processes/stop_inherited.rs
+++ b/crates/bench/tests/processes/stop_inherited.rs
@@ -1,23 +1,54 @@
-//! Signals to processes whose starter blocked them.
+//! Signals to processes whose starter blocked or ignored them.
 
-use std::time::Duration;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
 
-use bench::RunningFleet;
-use nix::sys::signal::{SigSet, SigmaskHow, Signal};
+use bench::{RunningFleet, binary_path};
+use nix::sys::signal::{SigSet, SigmaskHow, Signal, kill};
+use nix::unistd::Pid;
 
 use crate::fixture::with_fleet;
 
-/// Time in which a router without requests must exit.
+/// Time in which a process without requests must exit.
 const EXIT_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time for which a process must run on after a signal that its starter ignores: longer than the
+/// notice of a stop.
+const IGNORED_TIME: Duration = Duration::from_secs(3);
+const POLL_PERIOD: Duration = Duration::from_millis(20);
 
-/// Starts router 0 again while `signals` are blocked, which a child inherits.
-fn restart_blocked(fleet: &mut RunningFleet, signals: &[Signal]) -> anyhow::Result<()> {
-    fleet.kill(0);
+/// Runs `start` while `signals` are blocked, which a child inherits.
+fn with_blocked<T>(
+    signals: &[Signal],
+    start: impl FnOnce() -> anyhow::Result<T>,
+) -> anyhow::Result<T> {
     let blocked: SigSet = signals.iter().copied().collect();
     let before = blocked.thread_swap_mask(SigmaskHow::SIG_BLOCK)?;
-    let result = fleet.restart(0);
+    let started = start();
     before.thread_set_mask()?;
-    result
+    started
+}
+
+fn check_exit(fleet: &mut RunningFleet, signal: Signal) -> anyhow::Result<()> {
+    let process = fleet.routers[0].process.as_mut();
+    let process = process.ok_or_else(|| anyhow::anyhow!("router 0 has no process"))?;
+    assert_eq!(process.wait(EXIT_TIMEOUT)?, Some(0), "exit code after {signal}");
+    Ok(())
+}
+
+/// Waits until a child exits; returns none if it still runs after `timeout`.
+fn wait_for_exit(child: &mut Child, timeout: Duration) -> anyhow::Result<Option<ExitStatus>> {
+    let started_at = Instant::now();
+    while started_at.elapsed() < timeout {
+        if let Some(status) = child.try_wait()? {
+            return Ok(Some(status));
+        }
+        std::thread::sleep(POLL_PERIOD);
+    }
+    Ok(None)
+}
+
+fn send(child: &Child, signal: Signal) -> anyhow::Result<()> {
+    Ok(kill(Pid::from_raw(child.id().try_into()?), signal)?)
 }
 
 /// Guards against a router that serves until it is killed (LOST), as its starter blocked the signal
@@ -26,14 +57,47 @@
 fn router_whose_starter_blocks_signals_stops_in_order() {
     for signal in [Signal::SIGTERM, Signal::SIGINT] {
         with_fleet(1, move |mut fleet, _caller| async move {
-            restart_blocked(&mut fleet, &[signal])?;
+            fleet.kill(0);
+            with_blocked(&[signal], || fleet.restart(0))?;
             fleet.signal(0, signal)?;
-            let process = fleet.routers[0].process.as_mut();
-            let process = process.ok_or_else(|| anyhow::anyhow!("router 0 has no process"))?;
-            assert_eq!(process.wait(EXIT_TIMEOUT)?, Some(0), "exit code after {signal}");
+            check_exit(&mut fleet, signal)?;
             let words = ["inherited", &format!("blocked={signal} ")];
             assert_eq!(fleet.routers[0].log_lines(&words).len(), 1, "{words:?}");
             Ok(())
         });
     }
 }
+
+/// Guards against requests that a hangup cuts (LOST), as its default action ends the process.
+#[test]
+fn router_that_gets_a_hangup_stops_in_order() {
+    with_fleet(1, |mut fleet, _caller| async move {
+        fleet.signal(0, Signal::SIGHUP)?;
+        check_exit(&mut fleet, Signal::SIGHUP)
+    });
+}
+
+/// Guards against a router that a hangup ends although its starter ignores it, as `nohup` does.
+#[test]
+fn router_whose_starter_ignores_hangups_runs_on() {
+    with_fleet(1, |mut fleet, caller| async move {
+        fleet.kill(0);
+        let mut child = Command::new("sh")
+            .args(["-c", "trap '' HUP; exec \"$0\" --settings \"$1\""])
+            .arg(binary_path("poplar-router")?)
+            .arg(&fleet.routers[0].settings_file)
+            .stderr(Stdio::null())
+            .spawn()?;
+        let ready = fleet.wait_for_routers(&caller).await;
+        send(&child, Signal::SIGHUP)?;
+        let ended = wait_for_exit(&mut child, IGNORED_TIME)?;
+        send(&child, Signal::SIGTERM)?;
+        let status = wait_for_exit(&mut child, EXIT_TIMEOUT)?;
+        // Fails if the process has exited.
+        let _ = child.kill();
+        ready?;
+        assert_eq!(ended, None, "after the hangup");
+        assert_eq!(status.and_then(|status| status.code()), Some(0), "exit code");
+        Ok(())
+    });
+}
--- a/crates/gateway/src/signals.rs
+++ b/crates/gateway/src/signals.rs
@@ -6,7 +6,7 @@
 
 use base::Millis;
 use nix::sys::signal::Signal;
-use process::{CaughtSignal, CaughtSignals, ExitTimer, InheritedSignals, catch_signals};
+use process::{BlockedSignals, CaughtSignal, CaughtSignals, ExitTimer, InheritedSignals};
 
 /// Longest time in milliseconds for which a thread that has taken a signal may not yet have run
 /// its handler.
@@ -27,9 +27,10 @@
     /// # Errors
     /// Returns an error if a handler can't be installed.
     pub fn install() -> io::Result<Self> {
-        let stops = &[Signal::SIGTERM, Signal::SIGINT];
+        let (stops, reloads) = ([Signal::SIGTERM, Signal::SIGINT], [Signal::SIGHUP]);
+        let blocked = BlockedSignals::block(&[&stops[..], &reloads].concat())?;
         let CaughtSignals { groups: [stop, reload], inherited, timer } =
-            catch_signals([stops, &[Signal::SIGHUP]], stops)?;
+            blocked.catch([&stops, &reloads], &stops)?;
         Ok(Self { stop, reload, inherited, timer })
     }
 }
--- a/crates/process/src/caught.rs
+++ b/crates/process/src/caught.rs
@@ -27,6 +27,14 @@
     receiver: tokio::net::UnixStream,
 }
 
+/// Signals that wait until they are caught, so that none is lost while its handlers are installed.
+/// While a signal is blocked, the system keeps it even if it is ignored.
+#[derive(Debug)]
+pub struct BlockedSignals {
+    blocked: SigSet,
+    inherited: InheritedSignals,
+}
+
 /// What a process catches, from the start of its `main` on.
 #[derive(Debug)]
 pub struct CaughtSignals<const N: usize> {
@@ -36,28 +44,39 @@
     pub timer: ExitTimer,
 }
 
-/// Catches each group of signals, also those that the starter of the process blocked or ignored.
-/// Those of `stops` are the ones that stop the process. To be called first in `main`, while the
-/// process has no other thread: until then the signals have the action that the starter left.
-///
-/// # Errors
-/// Returns an error if a handler can't be installed, or a thread can't be started.
-pub fn catch_signals<const N: usize>(
-    groups: [&[Signal]; N],
-    stops: &[Signal],
-) -> io::Result<CaughtSignals<N>> {
-    let signals = groups.concat();
-    let blocked: SigSet = signals.iter().copied().collect();
-    // A signal that comes while its handlers are installed waits until they are complete. While it
-    // is blocked, it is kept even if it is ignored.
-    let before = blocked.thread_swap_mask(SigmaskHow::SIG_BLOCK)?;
-    let inherited = InheritedSignals::read(signals, &before);
-    let caught: io::Result<Vec<_>> = groups.into_iter().map(CaughtSignal::install).collect();
-    let timer = ExitTimer::start(stops)?;
-    // Threads that start later inherit this mask, not the one of the starter.
-    blocked.thread_unblock()?;
-    let groups = caught?.try_into().map_err(|_| io::Error::other("a group has no handler"))?;
-    Ok(CaughtSignals { groups, inherited, timer })
+impl BlockedSignals {
+    /// Blocks `signals`. To be called first in `main`, while the process has no other thread: until
+    /// then they have the action that the starter of the process left.
+    ///
+    /// # Errors
+    /// Returns an error if they can't be blocked.
+    pub fn block(signals: &[Signal]) -> io::Result<Self> {
+        let blocked: SigSet = signals.iter().copied().collect();
+        let before = blocked.thread_swap_mask(SigmaskHow::SIG_BLOCK)?;
+        Ok(Self { blocked, inherited: InheritedSignals::read(signals, &before) })
+    }
+
+    pub fn inherited(&self) -> &InheritedSignals {
+        &self.inherited
+    }
+
+    /// Catches each group of signals, also those that the starter of the process blocked or ignored.
+    /// Those of `stops` stop the process.
+    ///
+    /// # Errors
+    /// Returns an error if a handler can't be installed, or a thread can't be started.
+    pub fn catch<const N: usize>(
+        self,
+        groups: [&[Signal]; N],
+        stops: &[Signal],
+    ) -> io::Result<CaughtSignals<N>> {
+        let caught: io::Result<Vec<_>> = groups.into_iter().map(CaughtSignal::install).collect();
+        let groups = caught?.try_into().map_err(|_| io::Error::other("a group has no handler"))?;
+        let timer = ExitTimer::start(stops)?;
+        // Threads that start later inherit this mask, not the one of the starter.
+        self.blocked.thread_unblock()?;
+        Ok(CaughtSignals { groups, inherited: self.inherited, timer })
+    }
 }
 
 impl CaughtSignal {
--- a/crates/process/src/inherited.rs
+++ b/crates/process/src/inherited.rs
@@ -24,7 +24,8 @@
 impl InheritedSignals {
     /// Reads the state of `signals`. To be called while they are blocked on this thread, whose mask
     /// was `blocked`, and before they have handlers.
-    pub(crate) fn read(signals: Vec<Signal>, blocked: &SigSet) -> Self {
+    pub(crate) fn read(signals: &[Signal], blocked: &SigSet) -> Self {
+        let signals = signals.to_vec();
         let status = SignalStatus::of_this_process();
         let blocked = signals.iter().copied().filter(|signal| blocked.contains(*signal)).collect();
         Self { blocked, status, signals }
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -5,7 +5,7 @@
 mod status;
 mod timer;
 
-pub use caught::{CaughtSignal, CaughtSignals, SignalReceiver, catch_signals};
+pub use caught::{BlockedSignals, CaughtSignal, CaughtSignals, SignalReceiver};
 pub use inherited::InheritedSignals;
 pub use status::{SignalMask, SignalStatus};
 pub use timer::ExitTimer;
--- a/crates/router/src/signals.rs
+++ b/crates/router/src/signals.rs
@@ -4,7 +4,7 @@
 
 use nix::sys::signal::Signal;
 use process::{
-    CaughtSignal, CaughtSignals, ExitTimer, InheritedSignals, SignalReceiver, catch_signals,
+    BlockedSignals, CaughtSignal, CaughtSignals, ExitTimer, InheritedSignals, SignalReceiver,
 };
 
 /// Signals that the process catches. To be installed first in `main`.
@@ -29,9 +29,14 @@
     /// # Errors
     /// Returns an error if a handler can't be installed.
     pub(crate) fn install() -> io::Result<Self> {
-        let groups: [&[Signal]; 2] = [&[Signal::SIGTERM], &[Signal::SIGINT]];
+        let signals = [Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP];
+        let blocked = BlockedSignals::block(&signals)?;
+        // There is nothing to reload, and the default action of SIGHUP would cut what is open. A
+        // starter that ignores it, such as `nohup`, wants the process to run on.
+        let ignores_hangup = blocked.inherited().is_ignored(Signal::SIGHUP);
+        let stops = if ignores_hangup { &signals[..2] } else { &signals };
         let CaughtSignals { groups: [terminate, interrupt], inherited, timer } =
-            catch_signals(groups, &groups.concat())?;
+            blocked.catch([&stops[..1], &stops[1..]], stops)?;
         Ok(Self { terminate, interrupt, inherited, timer })
     }
 
