stand-ins: SIGTERM and SIGINT that a starter blocked end them

What was seen: a stand-in whose starter blocks SIGTERM ran on after it.

Change: the stand-ins catch both signals first in `main` and end.

--- a/crates/bench/tests/processes/stop_inherited.rs
+++ b/crates/bench/tests/processes/stop_inherited.rs
@@ -101,3 +101,20 @@
         Ok(())
     });
 }
+
+/// Guards against a stand-in that outlives its test, as its starter blocked the signal to stop.
+#[test]
+fn standin_whose_starter_blocks_signals_ends() -> anyhow::Result<()> {
+    for signal in [Signal::SIGTERM, Signal::SIGINT] {
+        let mut child = with_blocked(&[signal], || {
+            let mut program = Command::new(binary_path("poplar-standin")?);
+            Ok(program.args(["platform", "--listen", "127.0.0.1:0"]).spawn()?)
+        })?;
+        send(&child, signal)?;
+        let status = wait_for_exit(&mut child, EXIT_TIMEOUT)?;
+        // Fails if the process has exited.
+        let _ = child.kill();
+        assert!(status.is_some(), "runs on after {signal}");
+    }
+    Ok(())
+}
--- a/crates/standin/src/cli.rs
+++ b/crates/standin/src/cli.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 
 use bpaf::{Parser, construct, long};
+use nix::sys::signal::Signal;
+use process::{BlockedSignals, CaughtSignals};
 
 use crate::{config, engine, pass, plain};
 
@@ -13,23 +15,34 @@
     Pass(pass::ProxySettings),
 }
 
-/// Runs the stand-in that the command line selects until the process is killed.
+/// Runs the stand-in that the command line selects until SIGTERM or SIGINT.
 ///
 /// # Errors
 /// Returns an error if a listening address is already in use.
 pub fn run() -> anyhow::Result<()> {
+    let stops = [Signal::SIGTERM, Signal::SIGINT];
+    let CaughtSignals { groups: [stop], .. } =
+        BlockedSignals::block(&stops)?.catch([&stops], &stops)?;
     let command = parser().run();
     let _guard = base::init_stderr_logs("warn");
     ntex::rt::System::new("standin", ntex::rt::DefaultRuntime).block_on(async move {
-        match command {
-            Command::Platform(listen) => config::serve(listen).await,
-            Command::Engine(settings) => engine::serve(settings).await,
-            Command::Plain(settings) => plain::serve(settings).await,
-            Command::Pass(settings) => pass::serve(settings).await,
+        let stop = stop.receive()?;
+        tokio::select! {
+            served = serve(command) => served,
+            received = stop.first() => Ok(received?),
         }
     })
 }
 
+async fn serve(command: Command) -> anyhow::Result<()> {
+    match command {
+        Command::Platform(listen) => config::serve(listen).await,
+        Command::Engine(settings) => engine::serve(settings).await,
+        Command::Plain(settings) => plain::serve(settings).await,
+        Command::Pass(settings) => pass::serve(settings).await,
+    }
+}
+
 fn parser() -> bpaf::OptionParser<Command> {
     let platform = listen().map(Command::Platform);
     let platform = platform.to_options().command("platform");
