--- a/crates/bench/src/launch.rs
+++ b/crates/bench/src/launch.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
-use nix::sys::signal::{Signal, kill};
+use nix::sys::signal::{SigSet, SigmaskHow, Signal, kill};
 use nix::unistd::Pid;
 use serde_json::{Value, json};
 
@@ -470,6 +470,18 @@
     base::Origin::generate("folder".into()).incarnation
 }
 
+/// Runs `start` while `signals` are blocked on this thread, which a process that it starts inherits.
+///
+/// # Errors
+/// Returns an error if the mask of the thread can't be set.
+pub fn with_blocked_signals<T>(signals: &[Signal], start: impl FnOnce() -> T) -> nix::Result<T> {
+    let blocked: SigSet = signals.iter().copied().collect();
+    let before = blocked.thread_swap_mask(SigmaskHow::SIG_BLOCK)?;
+    let started = start();
+    before.thread_set_mask()?;
+    Ok(started)
+}
+
 /// Returns the path of a workspace binary, which is in the folder of the current
 /// executable or in the parent of that folder.
 ///
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -20,7 +20,10 @@
 pub use caller::{CallEnd, HttpCaller, StreamResult, credential};
 pub use demo::run_demo;
 pub use latency::run_latency;
-pub use launch::{ChildProcess, RunningFleet, RunningRouter, RunningTarget, SECRET, binary_path};
+pub use launch::{
+    ChildProcess, RunningFleet, RunningRouter, RunningTarget, SECRET, binary_path,
+    with_blocked_signals,
+};
 pub use measure::{MeasureOptions, run_measure};
 pub use plan::{ExampleSite, FleetPlan};
 pub use ports::{PORT_RANGE, free_address};
--- a/crates/bench/tests/processes/stop_inherited.rs
+++ b/crates/bench/tests/processes/stop_inherited.rs
@@ -3,8 +3,8 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
-use bench::{RunningFleet, binary_path};
-use nix::sys::signal::{SigSet, SigmaskHow, Signal, kill};
+use bench::{RunningFleet, binary_path, with_blocked_signals};
+use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 
 use crate::fixture::with_fleet;
@@ -16,18 +16,6 @@
 const IGNORED_TIME: Duration = Duration::from_secs(3);
 const POLL_PERIOD: Duration = Duration::from_millis(20);
 
-/// Runs `start` while `signals` are blocked, which a child inherits.
-fn with_blocked<T>(
-    signals: &[Signal],
-    start: impl FnOnce() -> anyhow::Result<T>,
-) -> anyhow::Result<T> {
-    let blocked: SigSet = signals.iter().copied().collect();
-    let before = blocked.thread_swap_mask(SigmaskHow::SIG_BLOCK)?;
-    let started = start();
-    before.thread_set_mask()?;
-    started
-}
-
 fn check_exit(fleet: &mut RunningFleet, signal: Signal) -> anyhow::Result<()> {
     let process = fleet.routers[0].process.as_mut();
     let process = process.ok_or_else(|| anyhow::anyhow!("router 0 has no process"))?;
@@ -58,7 +46,7 @@
     for signal in [Signal::SIGTERM, Signal::SIGINT] {
         with_fleet(1, move |mut fleet, _caller| async move {
             fleet.kill(0);
-            with_blocked(&[signal], || fleet.restart(0))?;
+            with_blocked_signals(&[signal], || fleet.restart(0))??;
             fleet.signal(0, signal)?;
             check_exit(&mut fleet, signal)?;
             let words = ["inherited", &format!("blocked={signal} ")];
@@ -106,10 +94,9 @@
 #[test]
 fn standin_whose_starter_blocks_signals_ends() -> anyhow::Result<()> {
     for signal in [Signal::SIGTERM, Signal::SIGINT] {
-        let mut child = with_blocked(&[signal], || {
-            let mut program = Command::new(binary_path("poplar-standin")?);
-            Ok(program.args(["platform", "--listen", "127.0.0.1:0"]).spawn()?)
-        })?;
+        let mut program = Command::new(binary_path("poplar-standin")?);
+        program.args(["platform", "--listen", "127.0.0.1:0"]);
+        let mut child = with_blocked_signals(&[signal], || program.spawn())??;
         send(&child, signal)?;
         let status = wait_for_exit(&mut child, EXIT_TIMEOUT)?;
         // Fails if the process has exited.
