--- a/crates/process/src/status.rs
+++ b/crates/process/src/status.rs
@@ -1,4 +1,4 @@
-//! Signals of a process or thread as Linux reports them.
+//! Signals of a process or thread as Linux reports them in `/proc/ID/status`.
 
 use std::fmt;
 use std::io::{self, ErrorKind};
