--- a/crates/bench/src/launch.rs
+++ b/crates/bench/src/launch.rs
@@ -2,12 +2,13 @@
 
 use std::fs;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
-use nix::sys::signal::{SigSet, SigmaskHow, Signal, kill};
+use nix::sys::signal::{SigHandler, SigSet, SigmaskHow, Signal, kill};
 use nix::unistd::Pid;
 use serde_json::{Value, json};
 
@@ -482,6 +483,28 @@
     Ok(started)
 }
 
+/// Has a program start with `blocked` signals blocked, `ignored` ones ignored, and all others that
+/// the daemons catch as the system has them, whatever this process has inherited itself.
+pub fn set_inherited_signals(
+    program: &mut Command,
+    blocked: &'static [Signal],
+    ignored: &'static [Signal],
+) {
+    let prepare = || {
+        for signal in [Signal::SIGHUP, Signal::SIGINT, Signal::SIGTERM] {
+            let is_ignored = ignored.contains(&signal);
+            let action = if is_ignored { SigHandler::SigIgn } else { SigHandler::SigDfl };
+            // SAFETY: no handler of this process is replaced, as this runs in the child.
+            unsafe { nix::sys::signal::signal(signal, action) }?;
+        }
+        let mut mask = SigSet::empty();
+        blocked.iter().for_each(|signal| mask.add(*signal));
+        Ok(mask.thread_set_mask()?)
+    };
+    // SAFETY: `prepare` allocates nothing and takes no lock.
+    unsafe { program.pre_exec(prepare) };
+}
+
 /// Returns the path of a workspace binary, which is in the folder of the current
 /// executable or in the parent of that folder.
 ///
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -22,7 +22,7 @@
 pub use latency::run_latency;
 pub use launch::{
     ChildProcess, RunningFleet, RunningRouter, RunningTarget, SECRET, binary_path,
-    with_blocked_signals,
+    set_inherited_signals, with_blocked_signals,
 };
 pub use measure::{MeasureOptions, run_measure};
 pub use plan::{ExampleSite, FleetPlan};
--- a/crates/bench/tests/processes/stop_inherited.rs
+++ b/crates/bench/tests/processes/stop_inherited.rs
@@ -3,7 +3,7 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
-use bench::{RunningFleet, binary_path, with_blocked_signals};
+use bench::{HttpCaller, RunningFleet, binary_path, set_inherited_signals, with_blocked_signals};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 
@@ -56,12 +56,41 @@
     }
 }
 
+/// Starts router 0 again with `ignored` signals ignored, and sends it a hangup. Returns whether it
+/// exits by itself, and how it exits at last.
+async fn hang_up(
+    fleet: &mut RunningFleet,
+    caller: &HttpCaller,
+    ignored: &'static [Signal],
+) -> anyhow::Result<(bool, Option<ExitStatus>)> {
+    fleet.kill(0);
+    let mut program = Command::new(binary_path("poplar-router")?);
+    program.arg("--settings").arg(&fleet.routers[0].settings_file).stderr(Stdio::null());
+    set_inherited_signals(&mut program, &[], ignored);
+    let mut child = program.spawn()?;
+    let ready = fleet.wait_for_routers(caller).await;
+    send(&child, Signal::SIGHUP)?;
+    let timeout = if ignored.is_empty() { EXIT_TIMEOUT } else { IGNORED_TIME };
+    let mut status = wait_for_exit(&mut child, timeout)?;
+    let ends_itself = status.is_some();
+    if !ends_itself {
+        send(&child, Signal::SIGTERM)?;
+        status = wait_for_exit(&mut child, EXIT_TIMEOUT)?;
+    }
+    // Fails if the process has exited.
+    let _ = child.kill();
+    ready?;
+    Ok((ends_itself, status))
+}
+
 /// Guards against requests that a hangup cuts (LOST), as its default action ends the process.
 #[test]
 fn router_that_gets_a_hangup_stops_in_order() {
-    with_fleet(1, |mut fleet, _caller| async move {
-        fleet.signal(0, Signal::SIGHUP)?;
-        check_exit(&mut fleet, Signal::SIGHUP)
+    with_fleet(1, |mut fleet, caller| async move {
+        let (ends_itself, status) = hang_up(&mut fleet, &caller, &[]).await?;
+        assert!(ends_itself, "runs on after the hangup");
+        assert_eq!(status.and_then(|status| status.code()), Some(0), "exit code");
+        Ok(())
     });
 }
 
@@ -69,22 +98,8 @@
 #[test]
 fn router_whose_starter_ignores_hangups_runs_on() {
     with_fleet(1, |mut fleet, caller| async move {
-        fleet.kill(0);
-        let mut child = Command::new("sh")
-            .args(["-c", "trap '' HUP; exec \"$0\" --settings \"$1\""])
-            .arg(binary_path("poplar-router")?)
-            .arg(&fleet.routers[0].settings_file)
-            .stderr(Stdio::null())
-            .spawn()?;
-        let ready = fleet.wait_for_routers(&caller).await;
-        send(&child, Signal::SIGHUP)?;
-        let ended = wait_for_exit(&mut child, IGNORED_TIME)?;
-        send(&child, Signal::SIGTERM)?;
-        let status = wait_for_exit(&mut child, EXIT_TIMEOUT)?;
-        // Fails if the process has exited.
-        let _ = child.kill();
-        ready?;
-        assert_eq!(ended, None, "after the hangup");
+        let (ends_itself, status) = hang_up(&mut fleet, &caller, &[Signal::SIGHUP]).await?;
+        assert!(!ends_itself, "ends after the hangup: {status:?}");
         assert_eq!(status.and_then(|status| status.code()), Some(0), "exit code");
         Ok(())
     });
