--- a/crates/gateway/src/life.rs
+++ b/crates/gateway/src/life.rs
@@ -101,15 +101,20 @@
 }
 
 impl ProcessLife<Closed> {
-    /// Ends what is open beside the other servers, as both take a part of the exit margin.
+    /// Ends what is open and the other servers. Nothing waits for those, as their stop takes longer than
+    /// the exit margin leaves, and they end with the process.
     pub(crate) async fn exit(self) {
         self.context.shutdown.cancel();
         let stop_server = async {
             if let Some(server) = self.state.server {
                 server.stop(false).await;
             }
+            std::future::pending().await
         };
-        tokio::join!(stop::cut_open_calls(&self.context), stop_server);
+        tokio::select! {
+            () = stop_server => {}
+            () = stop::cut_open_calls(&self.context) => {}
+        }
         tracing::info!(unit = "run", event = "stopped");
     }
 }
