--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -10,7 +10,7 @@
 
 pub use clock::{Millis, MonoClock};
 pub use identity::{Name, Origin};
-pub use logs::{init_stderr_logs, init_stdout_logs};
+pub use logs::{dropped_log_lines, init_stderr_logs, init_stdout_logs};
 pub use metrics::{PrometheusSink, metrics_client, prometheus_client};
 pub use rendezvous::{hash_bytes, mix_hashes, rank_candidates, stable_hash};
 pub use settings::{SettingsError, load_settings, parse_jsonc};
--- a/crates/base/src/logs.rs
+++ b/crates/base/src/logs.rs
@@ -1,14 +1,23 @@
 //! Logs: one line of key=value pairs for each event.
 
 use std::io::Write;
+use std::sync::OnceLock;
 
-use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
 /// Maximum number of lines that wait to be written. Further lines are dropped,
 /// so that a stalled reader of the output never blocks a request.
 const MAX_WAITING_LINES: usize = 4_096;
 
+/// Counts the dropped lines of the log that was started first.
+static DROPPED_LINES: OnceLock<ErrorCounter> = OnceLock::new();
+
+/// Returns the number of log lines that were dropped, as nobody read the output in time.
+pub fn dropped_log_lines() -> usize {
+    DROPPED_LINES.get().map_or(0, ErrorCounter::dropped_lines)
+}
+
 /// Returns the filter for `level`, or for `info` if `level` is not valid.
 fn filter(level: &str) -> EnvFilter {
     EnvFilter::try_new(level).unwrap_or_else(|_| EnvFilter::new("info"))
@@ -31,6 +40,7 @@
         .lossy(true)
         .buffered_lines_limit(MAX_WAITING_LINES)
         .finish(output);
+    DROPPED_LINES.get_or_init(|| writer.error_counter());
     // A second call in one process keeps the first subscriber.
     let _ = tracing_subscriber::fmt()
         .with_env_filter(filter(level))
--- a/crates/gateway/src/open.rs
+++ b/crates/gateway/src/open.rs
@@ -1,5 +1,6 @@
 //! Requests and connections of callers that are open.
 
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
@@ -8,6 +9,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use crate::context::{GatewayContext, lock};
+use crate::report::CallEnd;
 
 new_key_type! {
     /// Identifies a request that has not been reported.
@@ -24,6 +26,8 @@
     unwritten: AtomicUsize,
     /// Connections of callers that are accepted and not closed.
     connections: AtomicUsize,
+    /// Requests that ended since the signal to stop, by their end.
+    stop_ends: Mutex<BTreeMap<CallEnd, usize>>,
     pub(crate) counter: OpenCounter,
 }
 
@@ -54,6 +58,16 @@
         calls
     }
 
+    /// Records how a request ended after the signal to stop.
+    pub(crate) fn record_stop_end(&self, end: CallEnd) {
+        *lock(&self.stop_ends).entry(end).or_default() += 1;
+    }
+
+    /// Returns how many requests ended in this way after the signal to stop.
+    pub(crate) fn stop_ends(&self, end: CallEnd) -> usize {
+        lock(&self.stop_ends).get(&end).copied().unwrap_or_default()
+    }
+
     pub(crate) fn unwritten_connections(&self) -> usize {
         self.unwritten.load(Ordering::Relaxed)
     }
--- a/crates/gateway/src/reader.rs
+++ b/crates/gateway/src/reader.rs
@@ -6,6 +6,7 @@
 use hyper::body::{Body, Bytes, Incoming};
 use outbound::{
     AnswerContent, AnswerEnd, BodyFraming, Connection, EndEvidence, ListenerState, UnprovedEnd,
+    format_with_sources,
 };
 use sse::{OrderError, OrderedEvents, RunEnd};
 use target::RequestOutcome;
@@ -106,7 +107,7 @@
         loop {
             match self.body.frame().await {
                 None => return Ok(None),
-                Some(Err(cause)) => return Err(cause.to_string()),
+                Some(Err(cause)) => return Err(format_with_sources(&cause)),
                 Some(Ok(frame)) => {
                     if let Ok(bytes) = frame.into_data() {
                         return Ok(Some(bytes));
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -21,7 +21,7 @@
 use crate::send::Attempts;
 
 /// How a request ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) enum CallEnd {
     Answered,
     Refused,
@@ -211,6 +211,9 @@
         let stop_plan = self.context.stop_plan();
         let after_signal_ms =
             stop_plan.and_then(|plan| self.started_at.checked_sub(plan.unsignalled_at()));
+        if stop_plan.is_some() {
+            self.context.open.record_stop_end(end);
+        }
         let first_ms = self.first_byte_at.map(|at| at.saturating_sub(self.started_at));
         let metrics = &self.context.metrics;
         metrics.incr(&format!("calls.{end:?}")).ok();
--- a/crates/gateway/src/resources.rs
+++ b/crates/gateway/src/resources.rs
@@ -35,6 +35,7 @@
     let calls = context.open_calls();
     let held_bytes = context.memory().used();
     let is_saturated = context.accept_policy().is_saturated();
+    let lines_dropped = base::dropped_log_lines();
     tracing::info!(
         unit = "resources",
         event = "sampled",
@@ -44,6 +45,7 @@
         calls,
         held_bytes,
         is_saturated,
+        lines_dropped,
     );
     let limited_targets = context.limits().limited_targets();
     let cold_targets = context.limits().cold_targets(context.now());
@@ -56,6 +58,7 @@
         ("saturated", Some(u64::from(is_saturated))),
         ("limited_targets", Some(limited_targets as u64)),
         ("cold_targets", Some(cold_targets as u64)),
+        ("log_lines_dropped", Some(lines_dropped as u64)),
         ("evacuated_domains", Some(context.targets().evacuated_domains(context.now()) as u64)),
     ];
     for (name, value) in gauges {
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -5,8 +5,10 @@
 
 use admit::{LINGER_MS, OpenCounts, StopCycle, StopPlan, StopSettings, StopStep};
 use base::Millis;
+use inbound::QueuedSocket;
 
 use crate::context::{GatewayContext, millis};
+use crate::report::CallEnd;
 use crate::serve;
 use crate::settings::GatewaySettings;
 
@@ -28,7 +30,7 @@
 /// Longest time for which the exit waits until requests that it cuts are reported.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(200);
 const REPORT_POLL_PERIOD: Duration = Duration::from_millis(5);
-/// Most lines on requests that the end of a drain finds open.
+/// Most lines on requests that the end of a drain finds open, and on connections that it leaves.
 const MAX_OPEN_LINES: usize = 64;
 /// Least time between two lines on the progress of a drain, in milliseconds.
 const PROGRESS_PERIOD_MS: Millis = 1_000;
@@ -111,11 +113,42 @@
         }
     }
     let took_ms = context.now().saturating_sub(unsignalled_at);
-    let (cut, queued) = (context.open_calls(), open.queued);
-    if cut > 0 {
-        tracing::warn!(unit = "run", event = "drained", took_ms, cut, queued);
-    } else {
-        tracing::info!(unit = "run", event = "drained", took_ms, cut, queued);
+    log_drained(context, took_ms, open);
+}
+
+/// Logs what the drain did and what it leaves: a warning if that is anything that a caller waits for.
+fn log_drained(context: &GatewayContext, took_ms: Millis, open: OpenCounts) {
+    let (cut, ends) = (context.open_calls(), &context.open);
+    let OpenCounts { connections, queued, .. } = open;
+    macro_rules! log_at {
+        ($level:ident) => {
+            tracing::$level!(
+                unit = "run",
+                event = "drained",
+                took_ms,
+                cut,
+                connections,
+                queued,
+                answered = ends.stop_ends(CallEnd::Answered),
+                refused = ends.stop_ends(CallEnd::Refused),
+                broken = ends.stop_ends(CallEnd::Broken),
+                left = ends.stop_ends(CallEnd::Left),
+                timed_out = ends.stop_ends(CallEnd::Cut),
+                lines_dropped = base::dropped_log_lines(),
+            )
+        };
+    }
+    if cut == 0 && connections == 0 && queued == 0 {
+        log_at!(info);
+        return;
+    }
+    log_at!(warn);
+    let sockets = QueuedSocket::list(context.settings.listen.callers).unwrap_or_else(|cause| {
+        tracing::warn!(unit = "run", event = "queues_not_read", %cause);
+        Vec::new()
+    });
+    for QueuedSocket { peer, unread, unacknowledged } in sockets.into_iter().take(MAX_OPEN_LINES) {
+        tracing::warn!(unit = "run", event = "left_queued", %peer, unread, unacknowledged);
     }
 }
 
--- a/crates/inbound/src/lib.rs
+++ b/crates/inbound/src/lib.rs
@@ -15,5 +15,5 @@
 pub use answers::{AnswerEnd, HandedAnswer, unwritten_bytes};
 pub use connections::{BusyConnection, CallerConnections, DISCONNECT_TIMEOUT, HEAD_TIMEOUT};
 pub use counting::{CountQuestions, OpenCounter};
-pub use queues::SocketQueues;
+pub use queues::{QueuedSocket, SocketQueues};
 pub use stalls::{StallGuard, StalledAnswers};
--- a/crates/inbound/src/queues.rs
+++ b/crates/inbound/src/queues.rs
@@ -38,71 +38,135 @@
     pub unacknowledged: usize,
 }
 
+/// A connection with bytes that only the system holds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct QueuedSocket {
+    pub peer: SocketAddr,
+    /// Bytes that the router has not read. With any of them, a close resets the connection.
+    pub unread: usize,
+    /// Bytes, and one for an end, that the peer has not acknowledged.
+    pub unacknowledged: usize,
+}
+
+/// An entry of the listing.
+#[derive(Clone, Copy, Debug)]
+struct SocketEntry {
+    local: SocketAddr,
+    peer: SocketAddr,
+    state: u8,
+    /// Bytes that wait to be read, or connections that wait to be accepted.
+    received: usize,
+    /// Bytes that wait to be acknowledged.
+    sent: usize,
+}
+
 impl SocketQueues {
     /// Reads the queues of the sockets whose own address is `listen`.
     ///
     /// # Errors
     /// Returns an error if the system does not tell.
     pub fn read(listen: SocketAddr) -> io::Result<Self> {
-        let protocol = Protocol::from(libc::NETLINK_SOCK_DIAG);
-        let mut socket = Socket::new(Domain::from(libc::AF_NETLINK), Type::RAW, Some(protocol))?;
-        socket.set_read_timeout(Some(PART_TIMEOUT))?;
-        socket.send(&request(listen))?;
         let mut queues = Self::default();
-        let mut part = vec![0; PART_BYTES];
-        loop {
-            let length = socket.read(&mut part)?;
-            if queues.add_part(&part[..length], listen)? {
-                return Ok(queues);
+        read_entries(listen, |entry| {
+            match entry.state {
+                LISTENING => queues.unaccepted += entry.received,
+                ESTABLISHED => queues.unread += usize::from(entry.received > 0),
+                _ => {}
             }
-        }
+            let is_connection = entry.state != LISTENING;
+            queues.unacknowledged += usize::from(is_connection && entry.sent > 0);
+        })?;
+        Ok(queues)
     }
 
     pub(crate) fn count(self) -> usize {
         self.unaccepted + self.unread + self.unacknowledged
     }
+}
 
-    /// Adds a part of the listing. Returns whether it is the last one.
-    fn add_part(&mut self, mut part: &[u8], listen: SocketAddr) -> io::Result<bool> {
-        let malformed = || io::Error::from(ErrorKind::InvalidData);
-        while !part.is_empty() {
-            let length = word(part, 0).ok_or_else(malformed)? as usize;
-            let message = part.get(HEAD_BYTES..length).ok_or_else(malformed)?;
-            match u16::from_ne_bytes([part[4], part[5]]) {
-                NLMSG_DONE => return Ok(true),
-                NLMSG_ERROR => {
-                    let code = word(message, 0).ok_or_else(malformed)?;
-                    return Err(io::Error::from_raw_os_error((code as i32).saturating_neg()));
+impl QueuedSocket {
+    /// Lists the connections to `listen` with bytes that only the system holds.
+    ///
+    /// # Errors
+    /// Returns an error if the system does not tell.
+    pub fn list(listen: SocketAddr) -> io::Result<Vec<Self>> {
+        let mut sockets = Vec::new();
+        read_entries(listen, |entry| {
+            let SocketEntry { peer, received: unread, sent: unacknowledged, .. } = entry;
+            if entry.state != LISTENING && unread + unacknowledged > 0 {
+                sockets.push(Self { peer, unread, unacknowledged });
+            }
+        })?;
+        Ok(sockets)
+    }
+}
+
+/// Passes the sockets whose own address is `listen` to `add`.
+fn read_entries(listen: SocketAddr, mut add: impl FnMut(SocketEntry)) -> io::Result<()> {
+    let protocol = Protocol::from(libc::NETLINK_SOCK_DIAG);
+    let mut socket = Socket::new(Domain::from(libc::AF_NETLINK), Type::RAW, Some(protocol))?;
+    socket.set_read_timeout(Some(PART_TIMEOUT))?;
+    socket.send(&request(listen))?;
+    let mut part = vec![0; PART_BYTES];
+    loop {
+        let length = socket.read(&mut part)?;
+        if parse_part(&part[..length], listen, &mut add)? {
+            return Ok(());
+        }
+    }
+}
+
+/// Parses a part of the listing. Returns whether it is the last one.
+fn parse_part(
+    mut part: &[u8],
+    listen: SocketAddr,
+    add: &mut impl FnMut(SocketEntry),
+) -> io::Result<bool> {
+    let malformed = || io::Error::from(ErrorKind::InvalidData);
+    while !part.is_empty() {
+        let length = word(part, 0).ok_or_else(malformed)? as usize;
+        let message = part.get(HEAD_BYTES..length).ok_or_else(malformed)?;
+        match u16::from_ne_bytes([part[4], part[5]]) {
+            NLMSG_DONE => return Ok(true),
+            NLMSG_ERROR => {
+                let code = word(message, 0).ok_or_else(malformed)?;
+                return Err(io::Error::from_raw_os_error((code as i32).saturating_neg()));
+            }
+            SOCK_DIAG_BY_FAMILY => {
+                let entry = SocketEntry::parse(message, listen.is_ipv4()).ok_or_else(malformed)?;
+                let is_own = listen.ip().is_unspecified() || entry.local.ip() == listen.ip();
+                if is_own && entry.local.port() == listen.port() {
+                    add(entry);
                 }
-                SOCK_DIAG_BY_FAMILY => self.add(message, listen).ok_or_else(malformed)?,
-                _ => {}
             }
-            part = part.get(length.next_multiple_of(4)..).unwrap_or_default();
+            _ => {}
         }
-        Ok(false)
+        part = part.get(length.next_multiple_of(4)..).unwrap_or_default();
     }
+    Ok(false)
+}
 
-    /// Adds an entry: family, state, two bytes, ports, addresses, 16 bytes, and from 56 on the bytes
+impl SocketEntry {
+    /// Parses an entry: family, state, two bytes, ports, addresses, 16 bytes, and from 56 on the bytes
     /// that wait to be read, or connections that wait to be accepted, and those that wait to be
     /// acknowledged.
-    fn add(&mut self, entry: &[u8], listen: SocketAddr) -> Option<()> {
+    fn parse(entry: &[u8], is_ipv4: bool) -> Option<Self> {
         let entry: &[u8; ENTRY_BYTES] = entry.first_chunk()?;
-        let ip = match listen {
-            SocketAddr::V4(_) => IpAddr::from(Ipv4Addr::from(*entry[8..].first_chunk::<4>()?)),
-            SocketAddr::V6(_) => IpAddr::from(Ipv6Addr::from(*entry[8..].first_chunk::<16>()?)),
+        let address = |port: usize, ip: usize| {
+            let port = u16::from_be_bytes([entry[port], entry[port + 1]]);
+            let ip = match is_ipv4 {
+                true => IpAddr::from(Ipv4Addr::from(*entry[ip..].first_chunk::<4>()?)),
+                false => IpAddr::from(Ipv6Addr::from(*entry[ip..].first_chunk::<16>()?)),
+            };
+            Some(SocketAddr::new(ip, port))
         };
-        let is_own = listen.ip().is_unspecified() || ip == listen.ip();
-        if !is_own || u16::from_be_bytes([entry[4], entry[5]]) != listen.port() {
-            return Some(());
-        }
-        let (received, sent) = (word(entry, 56)? as usize, word(entry, 60)? as usize);
-        match entry[1] {
-            LISTENING => self.unaccepted += received,
-            ESTABLISHED => self.unread += usize::from(received > 0),
-            _ => {}
-        }
-        self.unacknowledged += usize::from(entry[1] != LISTENING && sent > 0);
-        Some(())
+        Some(Self {
+            local: address(4, 8)?,
+            peer: address(6, 24)?,
+            state: entry[1],
+            received: word(entry, 56)? as usize,
+            sent: word(entry, 60)? as usize,
+        })
     }
 }
 
--- a/crates/outbound/src/connection.rs
+++ b/crates/outbound/src/connection.rs
@@ -1,5 +1,6 @@
 //! A connection that carries one request at a time.
 
+use std::error::Error as StdError;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -197,7 +198,7 @@
             let is_unsent = error.take_message().is_some();
             let error = error.into_error();
             let is_exhausted = is_caused_by_exhaustion(&error);
-            let cause = format_with_source(error);
+            let cause = format_with_sources(&error);
             if is_exhausted {
                 let is_sent = !is_unsent;
                 return ExchangeError::Exhausted { step: "exchange", peer, cause, is_sent };
@@ -228,11 +229,8 @@
     excess
 }
 
-/// Formats an error together with its source.
-fn format_with_source(error: hyper::Error) -> String {
-    use std::error::Error;
-    match error.source() {
-        Some(cause) => format!("{error}: {cause}"),
-        None => error.to_string(),
-    }
+/// Formats an error together with its sources.
+pub fn format_with_sources(error: &dyn StdError) -> String {
+    let sources = std::iter::successors(error.source(), |&cause| cause.source());
+    sources.fold(error.to_string(), |text, cause| format!("{text}: {cause}"))
 }
--- a/crates/outbound/src/lib.rs
+++ b/crates/outbound/src/lib.rs
@@ -14,7 +14,7 @@
 mod probe;
 mod socket;
 
-pub use connection::{Connection, ExchangeError, connect, connect_buffered};
+pub use connection::{Connection, ExchangeError, connect, connect_buffered, format_with_sources};
 pub use ending::{AnswerContent, AnswerEnd, EndEvidence, UnprovedEnd};
 pub use exhaustion::is_local_exhaustion;
 pub use fetch::{FetchClient, FetchError, FetchTimeouts, PART_BYTES};
