--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -3,7 +3,6 @@
 
 mod accept;
 mod closing;
-mod durations;
 mod lateness;
 mod memory;
 mod resources;
@@ -14,7 +13,6 @@
 
 pub use accept::{AcceptPolicy, AcceptSettings};
 pub use closing::{OpenCounts, StopCycle, StopStep};
-pub use durations::RouteDurations;
 pub use lateness::{LatenessSettings, ThreadLateness};
 pub use memory::{HoldKey, MemoryBudget, MemoryRefusal, MemorySettings};
 pub use resources::ResourceSettings;
--- a/crates/admit/src/stop.rs
+++ b/crates/admit/src/stop.rs
@@ -14,8 +14,7 @@
 /// Times of a stop, in milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct StopSettings {
-    /// Time after the signal for which callers may still come with a request that is cut at the
-    /// exit if it takes too long.
+    /// Time after the signal for which callers may still use the address of the router.
     pub notice_ms: Millis,
     /// Time between the signal and the kill of the process.
     pub kill_ms: Millis,
@@ -36,8 +35,8 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StopPlan {
     unsignalled_at: Millis,
-    /// Until then every request is accepted that is expected to end by `ends_at`.
-    accepts_until: Millis,
+    /// Until then callers may come that have not learned of the stop.
+    notice_until: Millis,
     /// When requests without a response are answered. Invariant: not after `exits_at`.
     ends_at: Millis,
     exits_at: Millis,
@@ -50,7 +49,7 @@
         let exits_at = unsignalled_at + settings.kill_ms.saturating_sub(settings.exit_margin_ms);
         Self {
             unsignalled_at,
-            accepts_until: unsignalled_at + settings.notice_ms,
+            notice_until: unsignalled_at + settings.notice_ms,
             ends_at: exits_at
                 .saturating_sub(settings.answer_margin_ms)
                 .saturating_sub(settings.signal_delay_ms),
@@ -64,23 +63,16 @@
         self.unsignalled_at
     }
 
-    /// Whether a request is accepted whose last byte was read at `read_at` at the latest, that times
-    /// out at `expires_at` and is expected to take `expected_ms` milliseconds, if anything is known.
-    /// One that may be cut is better off at another router.
-    pub fn accepts(
-        &self,
-        read_at: Millis,
-        expires_at: Millis,
-        expected_ms: Option<Millis>,
-    ) -> bool {
-        let is_expected =
-            expected_ms.is_some_and(|expected_ms| read_at + expected_ms <= self.ends_at);
-        expires_at <= self.ends_at || (read_at <= self.accepts_until && is_expected)
+    /// Whether a request is accepted that times out at `expires_at`. One that may be cut is better off
+    /// at another router. How long others took bounds nothing: targets slow down, and of the requests
+    /// that began lately only the short ones have ended.
+    pub fn accepts(&self, expires_at: Millis) -> bool {
+        expires_at <= self.ends_at
     }
 
     /// Whether callers have had time to move to other routers.
     pub fn is_notice_over(&self, now: Millis) -> bool {
-        now > self.accepts_until
+        now > self.notice_until
     }
 
     /// Whether requests without a response have to be answered.
--- a/crates/gateway/src/context.rs
+++ b/crates/gateway/src/context.rs
@@ -7,7 +7,7 @@
 
 use admit::{
     AcceptPolicy, AcceptSettings, AccountShares, MemoryBudget, MemorySettings, RetryBudget,
-    RetrySettings, RouteDurations, ShareSettings, StopPlan, ThreadLateness,
+    RetrySettings, ShareSettings, StopPlan, ThreadLateness,
 };
 use base::{Millis, MonoClock, Name, Origin, stable_hash};
 use cadence::StatsdClient;
@@ -38,9 +38,6 @@
 use crate::stop;
 use crate::streams::{OpenStreams, OriginExchange};
 
-/// Time in milliseconds for which the duration of a request counts towards what its route may take.
-const DURATION_WINDOW_MS: Millis = 30_000;
-
 /// Progress in reading the configuration source.
 #[derive(Debug, Default)]
 pub(crate) struct SourceProgress {
@@ -135,7 +132,6 @@
     /// Lateness of the thread that serves callers.
     lateness: Mutex<ThreadLateness>,
     memory: Mutex<MemoryBudget>,
-    durations: Mutex<RouteDurations>,
     members: Mutex<MemberTable>,
     quarantine: Mutex<PartQuarantine>,
     limits: Mutex<RateLimiter>,
@@ -252,7 +248,6 @@
             shares: Mutex::new(AccountShares::new(share_settings)),
             retries: Mutex::new(RetryBudget::new(retry_settings)),
             memory: Mutex::new(MemoryBudget::new(memory_settings)),
-            durations: Mutex::new(RouteDurations::new(DURATION_WINDOW_MS)),
             lateness: Mutex::default(),
             accept_policy: Mutex::new(AcceptPolicy::new(accept_settings)),
             members: Mutex::new(members),
@@ -407,17 +402,9 @@
         self.stop_plan().is_some()
     }
 
-    /// Whether a request that has been read by now is accepted by this router, which may be
-    /// stopping.
+    /// Whether a request is accepted by this router, which may be stopping.
     pub(crate) fn accepts(&self, call: &RoutedCall) -> bool {
-        let Some(plan) = self.stop_plan() else { return true };
-        let now = self.now();
-        let expected_ms = self.durations().longest(&call.route.name, now);
-        plan.accepts(now, call.expires_at, expected_ms)
-    }
-
-    pub(crate) fn durations(&self) -> MutexGuard<'_, RouteDurations> {
-        lock(&self.durations)
+        self.stop_plan().is_none_or(|plan| plan.accepts(call.expires_at))
     }
 
     /// Whether responses close their connections: the router drains, or it is saturated
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -199,10 +199,6 @@
         }
         let now = self.context.now();
         let took_ms = self.handed_over_at.unwrap_or(now).saturating_sub(self.started_at);
-        if let Some(route) = self.route.as_ref().filter(|_| self.sent > 0) {
-            let lasted_ms = now.saturating_sub(self.started_at);
-            self.context.durations().record(route, lasted_ms, now);
-        }
         let written_ms = (end == CallEnd::Answered).then(|| now.saturating_sub(self.started_at));
         let unwritten = match end {
             CallEnd::Answered | CallEnd::Refused => 0,
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -68,10 +68,9 @@
     StopPlan::new(unsignalled_at, &settings)
 }
 
-/// Drains the router by its plan. It is withdrawn from address responses and reports that it is not
-/// ready, but still serves requests that are expected to end before its exit, until callers have had
-/// time to move to other routers. After that it accepts only those that time out before its exit, and
-/// exits once there are none.
+/// Drains the router by its plan. It is withdrawn from address responses, reports that it is not
+/// ready, and accepts only requests that time out before they would be cut. It exits once none is
+/// open and callers have had time to move to other routers.
 pub(crate) async fn drain(context: &Arc<GatewayContext>, plan: StopPlan) {
     let unsignalled_at = plan.unsignalled_at();
     let noticed_ms = context.now().saturating_sub(unsignalled_at);
