--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -23,7 +23,7 @@
 use crate::refusal::{Refusal, RefusalCause};
 use crate::relay::{OpenStream, RelayBody, StreamRelay};
 use crate::report::CallReport;
-use crate::send::{Attempts, send};
+use crate::send::{Attempts, send, take_retry};
 use crate::share;
 use crate::streams::find_taken_up;
 use crate::worker::Worker;
@@ -94,6 +94,7 @@
     };
     report.record_route(&routed);
     if !context.accepts(&routed) {
+        share::record_refused(context, &routed);
         discard_body(&mut body).await;
         return refuse(&mut report, refuse_for_stop());
     }
@@ -119,6 +120,7 @@
     };
     // The body may have taken some time.
     if !context.accepts(&routed) {
+        share::record_refused(context, &routed);
         return refuse(&mut report, refuse_for_stop());
     }
     if routed.remaining_ms(context.now()) == 0 {
@@ -230,7 +232,7 @@
         };
         let can_go_on = !is_stream || events.can_resume();
         let is_retryable = call.routed.route.kind.is_retryable() && !is_own_lack && can_go_on;
-        let will_retry = is_retryable && crate::send::take_retry(worker, call, attempts);
+        let will_retry = is_retryable && take_retry(worker, call, attempts).is_ok();
         tracing::info!(
             unit = "pipeline",
             event = "answer_lost",
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -381,14 +381,14 @@
         let Some(events) = events else {
             return fail(&mut self.report, cause);
         };
-        let is_taken = match failure {
+        let taken = match failure {
             RunFailure::Order(OrderError::UnmarkedEnd) => {
                 take_confirmation(&self.worker, &self.call, &self.attempts)
             }
             _ => take_retry(&self.worker, &self.call, &self.attempts),
         };
-        if !is_taken {
-            return fail(&mut self.report, cause);
+        if let Err(denial) = taken {
+            return fail(&mut self.report, format!("{cause}, not resumed: {denial}"));
         }
         events.begin_run();
         self.attempts.last_event_id = events.resume_id();
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -10,6 +10,7 @@
 use outbound::ExchangeError;
 use quarantine::crash_evidence;
 use target::{OutstandingKey, RequestOutcome, TargetEntry, TargetKey};
+use thiserror::Error;
 
 use crate::answers::{record_backoff, record_leaving};
 use crate::call::AdmittedCall;
@@ -223,10 +224,11 @@
         attempts.tried.push(Name::clone(&entry.id));
         let sent_before = attempts.sent;
         let end = run_attempt(worker, call, permitted, attempts).await;
+        let mut denial = None;
         let (cause, refusal) = match end {
             AttemptEnd::Response(exchange) => {
                 let failed = exchange.response.status().is_server_error();
-                if !failed || !is_retryable || !take_retry(worker, call, attempts) {
+                if !failed || !is_retryable || take_retry(worker, call, attempts).is_err() {
                     return Ok(*exchange);
                 }
                 let status = exchange.response.status().as_u16();
@@ -250,13 +252,16 @@
             AttemptEnd::NotRun(status) => {
                 let wait_ms = target_retry_ms(context, call);
                 let refusal = Refusal::retry_after(RefusalCause::NotRun, wait_ms);
-                let will_retry = take_retry(worker, call, attempts);
-                (format!("not run, status {status}"), (!will_retry).then_some(refusal))
+                denial = take_retry(worker, call, attempts).err();
+                (format!("not run, status {status}"), denial.map(|_| refusal))
             }
             AttemptEnd::ResponseLost(cause) => {
                 attempts.may_have_run = true;
-                let will_retry = is_retryable && take_retry(worker, call, attempts);
-                (cause, (!will_retry).then_some(Refusal::new(RefusalCause::AnswerLost)))
+                if is_retryable {
+                    denial = take_retry(worker, call, attempts).err();
+                }
+                let is_over = !is_retryable || denial.is_some();
+                (cause, is_over.then(|| Refusal::new(RefusalCause::AnswerLost)))
             }
         };
         tracing::info!(
@@ -270,6 +275,7 @@
             cause,
             sent = attempts.sent,
             goes_on = refusal.is_none(),
+            denial = denial.map(tracing::field::display),
         );
         if let Some(refusal) = refusal {
             return Err(attempts.adjust_refusal(refusal));
@@ -290,25 +296,61 @@
     targets.backoff_ms(service, now).map_or(TARGET_RETRY_MS, |wait_ms| wait_ms.max(TARGET_RETRY_MS))
 }
 
-/// Returns whether the route, the remaining time and the retry budget allow the
-/// request to be sent once more. If so, one retry is taken from the budget.
-pub(crate) fn take_retry(worker: &Worker, call: &AdmittedCall, attempts: &Attempts) -> bool {
+/// Why a request is not sent once more.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub(crate) enum RetryDenial {
+    #[error("its attempts are used up")]
+    Attempts,
+    #[error("targets may crash under it")]
+    Quarantine,
+    #[error("its time is over")]
+    Time,
+    #[error("the retry budget is used up")]
+    Budget,
+}
+
+/// Takes one retry from the budget, if the route, the remaining time and the budget allow the request
+/// to be sent once more.
+///
+/// # Errors
+/// Returns what does not allow it.
+pub(crate) fn take_retry(
+    worker: &Worker,
+    call: &AdmittedCall,
+    attempts: &Attempts,
+) -> Result<(), RetryDenial> {
     let context = &worker.context;
-    is_retry_allowed(context, call, attempts)
-        && context.retries().try_take(&call.routed.service, context.now())
+    check_retry(context, call, attempts)?;
+    let is_taken = context.retries().try_take(&call.routed.service, context.now());
+    is_taken.then_some(()).ok_or(RetryDenial::Budget)
 }
 
 /// The same for a stream that may be complete, whose end is to be confirmed.
-pub(crate) fn take_confirmation(worker: &Worker, call: &AdmittedCall, attempts: &Attempts) -> bool {
+///
+/// # Errors
+/// Returns what does not allow it.
+pub(crate) fn take_confirmation(
+    worker: &Worker,
+    call: &AdmittedCall,
+    attempts: &Attempts,
+) -> Result<(), RetryDenial> {
     let context = &worker.context;
-    is_retry_allowed(context, call, attempts)
-        && context.retries().try_take_spare(&call.routed.service, context.now())
+    check_retry(context, call, attempts)?;
+    let is_taken = context.retries().try_take_spare(&call.routed.service, context.now());
+    is_taken.then_some(()).ok_or(RetryDenial::Budget)
 }
 
-fn is_retry_allowed(context: &GatewayContext, call: &AdmittedCall, attempts: &Attempts) -> bool {
-    attempts.sent < call.routed.route.max_attempts
-        && may_retry(context, call)
-        && call.routed.remaining_ms(context.now()) > 0
+fn check_retry(
+    context: &GatewayContext,
+    call: &AdmittedCall,
+    attempts: &Attempts,
+) -> Result<(), RetryDenial> {
+    let denials = [
+        (attempts.sent >= call.routed.route.max_attempts, RetryDenial::Attempts),
+        (call.routed.remaining_ms(context.now()) == 0, RetryDenial::Time),
+        (!may_retry(context, call), RetryDenial::Quarantine),
+    ];
+    denials.into_iter().find(|(applies, _)| *applies).map_or(Ok(()), |(_, denial)| Err(denial))
 }
 
 /// Returns the refusal of a request that failed for a lack of this router's own; `None` if
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -22,6 +22,12 @@
     f64::from(unshared) + 2.0 * f64::from(profile.output_tokens)
 }
 
+/// Counts a request that this router refuses, as it stops, towards the retry budget of its service: the
+/// budget is a share of what callers send, and streams that were accepted before still draw on it.
+pub(crate) fn record_refused(context: &GatewayContext, call: &RoutedCall) {
+    context.retries().record_request(&call.service, context.now());
+}
+
 /// Counts a request and determines whether its account is within its share.
 pub(crate) fn admit(
     context: &GatewayContext,
