--- a/crates/gateway/src/reader.rs
+++ b/crates/gateway/src/reader.rs
@@ -193,7 +193,9 @@
         let probed_at = worker.context.now();
         let is_leaving = !worker.context.targets().is_present(entry, probed_at);
         let &Self { framing, content, .. } = self;
-        let end = AnswerEnd { framing, content, peer: entry.address, is_leaving };
+        // A refusal of a body that is too long counts by its status.
+        let has_cut_request = self.head.status.is_success() && self.connection.has_cut_request();
+        let end = AnswerEnd { framing, content, peer: entry.address, is_leaving, has_cut_request };
         let late_ms = || worker.context.lateness().late_ms(worker.context.now());
         let evidence = EndEvidence::collect(end, late_ms).await;
         if evidence.listener == Some(ListenerState::Refused) {
@@ -210,6 +212,7 @@
             ?content,
             listener = evidence.listener.map(tracing::field::debug),
             is_leaving,
+            has_cut_request,
             late_ms = evidence.late_ms,
         );
         Err(cause.into())
--- a/crates/inbound/src/connections.rs
+++ b/crates/inbound/src/connections.rs
@@ -9,14 +9,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use base::{Millis, MonoClock};
+use base::{Millis, MonoClock, unacknowledged_bytes};
 use ntex::io::IoRef;
 use ntex::time::Seconds;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::answers::{AnswerEnd, HandedAnswer, unwritten_bytes};
-use crate::queues::unacknowledged_bytes;
 
 /// Fractions of the largest number of connections: from the first one on, idle ones are
 /// closed until the second one is left.
--- a/crates/inbound/src/queues.rs
+++ b/crates/inbound/src/queues.rs
@@ -3,7 +3,6 @@
 
 use std::io::{self, ErrorKind, Read};
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
-use std::os::fd::RawFd;
 use std::time::Duration;
 
 use socket2::{Domain, Protocol, Socket, Type};
@@ -170,15 +169,6 @@
     }
 }
 
-/// Returns the bytes of a socket that its peer has not acknowledged, or `None` if the system does not
-/// tell.
-pub(crate) fn unacknowledged_bytes(descriptor: RawFd) -> Option<usize> {
-    let mut bytes: libc::c_int = 0;
-    // SAFETY: the request writes one `c_int`, and fails for a descriptor that is not open.
-    let result = unsafe { libc::ioctl(descriptor, libc::TIOCOUTQ, &raw mut bytes) };
-    usize::try_from(bytes).ok().filter(|_| result == 0)
-}
-
 /// Builds a request for the sockets with the port of `listen` that may hold something.
 fn request(listen: SocketAddr) -> [u8; REQUEST_BYTES] {
     let mut request = [0; REQUEST_BYTES];
--- a/crates/outbound/src/connection.rs
+++ b/crates/outbound/src/connection.rs
@@ -210,6 +210,11 @@
         })
     }
 
+    /// Whether the peer has ended the connection before it had the whole request.
+    pub fn has_cut_request(&self) -> bool {
+        self.socket.is_cut()
+    }
+
     /// Whether the connection can take another request now: nothing has arrived since its last
     /// response, and its peer has not closed it.
     pub fn is_idle(&self) -> bool {
--- a/crates/outbound/src/ending.rs
+++ b/crates/outbound/src/ending.rs
@@ -41,6 +41,9 @@
     pub peer: SocketAddr,
     /// Whether the target is known to leave, so that it is expected to stop listening.
     pub is_leaving: bool,
+    /// Whether the target ended the connection before it had the whole request, so that a reset may
+    /// follow.
+    pub has_cut_request: bool,
 }
 
 /// What is known of an answer whose body has ended in order. A body that ended otherwise, by a
@@ -50,6 +53,7 @@
 /// | --- | --- | --- | --- |
 /// | length, chunks | any | not probed | whole: its target marked the end |
 /// | connection | stream | not probed | not proved |
+/// | connection | opaque, while the request was being written | not probed | not proved: a process that closes with bytes unread resets the connection |
 /// | connection | opaque | listening | whole: the process that closed the connection runs on, unless this process was so late that a target may have started again since |
 /// | connection | opaque | refused | not proved: the process has ended, and the connections of a killed process end in order, too |
 /// | connection | opaque | unknown | not proved |
@@ -90,6 +94,9 @@
         match (self.end.framing, self.end.content) {
             (BodyFraming::Length | BodyFraming::Chunked, _) => return Ok(()),
             (BodyFraming::Connection, AnswerContent::Stream) => return Err(UnprovedEnd::Stream),
+            (BodyFraming::Connection, AnswerContent::Opaque) if self.end.has_cut_request => {
+                return Err(UnprovedEnd::Early);
+            }
             (BodyFraming::Connection, AnswerContent::Opaque) => {}
         }
         match self.listener {
@@ -107,6 +114,8 @@
 pub enum UnprovedEnd {
     #[error("response on a route for streams has neither a length nor a last chunk")]
     Stream,
+    #[error("response has no length, and its target ended it before it had the whole request")]
+    Early,
     #[error("response has no length, and its target no longer listens")]
     Ended,
     #[error("response has no length, and its target, which leaves, no longer listens")]
--- a/crates/outbound/tests/ending.rs
+++ b/crates/outbound/tests/ending.rs
@@ -19,7 +19,8 @@
     let listeners = [None, Some(Listening), Some(Refused), Some(Unknown)];
     for (is_leaving, ended) in [(false, UnprovedEnd::Ended), (true, UnprovedEnd::Left)] {
         let check_late = |framing, content, listener, late_ms| {
-            let end = AnswerEnd { framing, content, peer: UNUSED, is_leaving };
+            let end =
+                AnswerEnd { framing, content, peer: UNUSED, is_leaving, has_cut_request: false };
             EndEvidence { end, listener, late_ms }.check()
         };
         let check = |framing, content, listener| check_late(framing, content, listener, 499);
@@ -38,6 +39,18 @@
         let late = check_late(Connection, Opaque, Some(Listening), 500);
         assert_eq!(late, Err(UnprovedEnd::Late));
         assert_eq!(check_late(Length, Opaque, Some(Listening), 500), Ok(()));
+        let check_cut = |framing| {
+            let end = AnswerEnd {
+                framing,
+                content: Opaque,
+                peer: UNUSED,
+                is_leaving,
+                has_cut_request: true,
+            };
+            EndEvidence { end, listener: Some(Listening), late_ms: 0 }.check()
+        };
+        assert_eq!(check_cut(Connection), Err(UnprovedEnd::Early));
+        assert_eq!(check_cut(Length), Ok(()));
     }
 }
 
@@ -52,7 +65,7 @@
         (Connection, AnswerContent::Stream, None),
         (Connection, AnswerContent::Opaque, Some(ListenerState::Listening)),
     ] {
-        let end = AnswerEnd { framing, content, peer, is_leaving: false };
+        let end = AnswerEnd { framing, content, peer, is_leaving: false, has_cut_request: false };
         let evidence = EndEvidence::collect(end, || 0).await;
         assert_eq!(evidence.listener, expected, "{framing:?} {content:?}");
     }
@@ -74,7 +87,8 @@
         drop(listener);
     };
     let (framing, content) = (BodyFraming::Connection, AnswerContent::Opaque);
-    let answer_end = AnswerEnd { framing, content, peer, is_leaving: false };
+    let answer_end =
+        AnswerEnd { framing, content, peer, is_leaving: false, has_cut_request: false };
     let (evidence, ()) = tokio::join!(EndEvidence::collect(answer_end, || 0), end);
     assert_eq!(evidence.check(), Err(UnprovedEnd::Ended));
 }
--- a/crates/router/src/plain.rs
+++ b/crates/router/src/plain.rs
@@ -7,7 +7,7 @@
 use base::Name;
 use hyper::body::Bytes;
 use ntex::http::Method;
-use outbound::{AnswerContent, AnswerEnd, BodyFraming, EndEvidence, ExchangeError};
+use outbound::{AnswerContent, AnswerEnd, EndEvidence, ExchangeError};
 
 use crate::context::RouterContext;
 use crate::held::HeldBytes;
@@ -179,11 +179,12 @@
     context: &RouterContext,
     target: &Name,
     address: SocketAddr,
-    framing: BodyFraming,
+    response: &TargetResponse,
 ) -> Result<(), SendError> {
+    let (framing, has_cut_request) = (response.framing(), response.has_cut_request());
     let is_leaving = context.core().target_entry(target).is_none();
     let content = AnswerContent::Opaque;
-    let end = AnswerEnd { framing, content, peer: address, is_leaving };
+    let end = AnswerEnd { framing, content, peer: address, is_leaving, has_cut_request };
     let late_ms = || context.lateness().late_ms(context.now());
     let evidence = EndEvidence::collect(end, late_ms).await;
     evidence.check().map_err(|cause| SendError::MaybeSent(cause.to_string()))
@@ -228,7 +229,7 @@
         };
         let mut response = send_to_target(address, request).await?;
         let body = read_body(&mut response, account, call).await?;
-        check_end(context, target, address, response.framing()).await?;
+        check_end(context, target, address, &response).await?;
         Ok(PlainResponse {
             status: response.status().as_u16(),
             content_type: response.content_type().map(str::to_owned),
--- a/crates/router/src/target_client.rs
+++ b/crates/router/src/target_client.rs
@@ -28,7 +28,7 @@
 pub(crate) struct TargetResponse {
     response: Response<Incoming>,
     framing: BodyFraming,
-    _connection: Connection,
+    connection: Connection,
 }
 
 /// Sends a request on a new connection, so that a late or duplicate response cannot be
@@ -58,7 +58,7 @@
     let mut connection = connect_buffered(address, CONNECT_TIMEOUT, receive_buffer).await?;
     let response = connection.exchange(built).await?;
     let framing = BodyFraming::of(&response);
-    Ok(TargetResponse { response, framing, _connection: connection })
+    Ok(TargetResponse { response, framing, connection })
 }
 
 impl TargetResponse {
@@ -89,6 +89,11 @@
         Ok(None)
     }
 
+    /// Whether the target ended its successful response before it had the whole request.
+    pub(crate) fn has_cut_request(&self) -> bool {
+        self.status().is_success() && self.connection.has_cut_request()
+    }
+
     /// Returns the number of bytes that have not been read, if it is known.
     pub(crate) fn remaining_bytes(&self) -> Option<u64> {
         self.response.body().size_hint().exact()
