--- a/crates/outbound/src/connection.rs
+++ b/crates/outbound/src/connection.rs
@@ -3,6 +3,7 @@
 use std::error::Error as StdError;
 use std::io;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -20,6 +21,9 @@
 use crate::exhaustion::{is_caused_by_exhaustion, is_local_exhaustion};
 use crate::socket::{ConnectionSocket, ReadSize, SocketWatch};
 
+/// Statuses of a final response (RFC 9110, section 15). No request asks for another protocol, which a
+/// status below would announce.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 /// How long sent bytes may stay unacknowledged before the connection is closed.
 /// Well below the time that callers wait for a first byte, and well above the
 /// time needed to recover a few lost packets.
@@ -174,8 +178,8 @@
     /// closes the connection.
     ///
     /// # Errors
-    /// Returns an error if no response arrives; its variant tells whether any
-    /// part of the request was written.
+    /// Returns an error if no response arrives, or one whose status is not that of a final response;
+    /// its variant tells whether any part of the request was written.
     pub async fn exchange(
         &mut self,
         mut request: Request<Full<Bytes>>,
@@ -194,7 +198,7 @@
             }
             result = self.sender.try_send_request(request) => result,
         };
-        result.map_err(|mut error| {
+        let response = result.map_err(|mut error| {
             let is_unsent = error.take_message().is_some();
             let error = error.into_error();
             let is_exhausted = is_caused_by_exhaustion(&error);
@@ -207,7 +211,13 @@
                 return ExchangeError::NotSent { step: "send", peer, cause };
             }
             ExchangeError::Sent { peer, cause }
-        })
+        })?;
+        // Statuses of 0 to 99 are refused by the HTTP client.
+        if !FINAL_STATUSES.contains(&response.status().as_u16()) {
+            let cause = format!("status {} ends no response", response.status().as_u16());
+            return Err(ExchangeError::Sent { peer, cause });
+        }
+        Ok(response)
     }
 
     /// Whether the peer has ended the connection before it had the whole request.
