--- a/crates/admit/src/stop.rs
+++ b/crates/admit/src/stop.rs
@@ -20,10 +20,12 @@
     pub kill_ms: Millis,
     /// The process exits this long before it would be killed.
     pub exit_margin_ms: Millis,
-    /// Requests without a response are answered this long before the exit.
+    /// Requests without a response are answered this long before the exit at the latest.
     pub answer_margin_ms: Millis,
-    /// Longest time for which the signal may be on its way to the process: what is accepted ends as
-    /// much earlier.
+    /// No request is given up earlier than this after the signal: its target may still answer.
+    pub give_up_ms: Millis,
+    /// Longest time for which the signal may be on its way to the process: what is accepted times out
+    /// as much earlier.
     pub signal_delay_ms: Millis,
     /// The process refuses all for at least this long before it exits ahead of its time, so that the
     /// last answers pass the links to their callers.
@@ -37,6 +39,8 @@
     unsignalled_at: Millis,
     /// Until then callers may come that have not learned of the stop.
     notice_until: Millis,
+    /// What is accepted times out by then. Invariant: not after `ends_at`, if the stop leaves time for that.
+    accepts_by: Millis,
     /// When requests without a response are answered. Invariant: not after `exits_at`.
     ends_at: Millis,
     exits_at: Millis,
@@ -47,12 +51,12 @@
     /// Creates the plan of a stop whose signal had not been sent at `unsignalled_at`.
     pub fn new(unsignalled_at: Millis, settings: &StopSettings) -> Self {
         let exits_at = unsignalled_at + settings.kill_ms.saturating_sub(settings.exit_margin_ms);
+        let answered_by = exits_at.saturating_sub(settings.answer_margin_ms);
         Self {
             unsignalled_at,
             notice_until: unsignalled_at + settings.notice_ms,
-            ends_at: exits_at
-                .saturating_sub(settings.answer_margin_ms)
-                .saturating_sub(settings.signal_delay_ms),
+            accepts_by: answered_by.saturating_sub(settings.signal_delay_ms),
+            ends_at: answered_by.min(unsignalled_at + settings.give_up_ms),
             exits_at,
             linger_ms: settings.linger_ms,
         }
@@ -67,7 +71,7 @@
     /// at another router. How long others took bounds nothing: targets slow down, and of the requests
     /// that began lately only the short ones have ended.
     pub fn accepts(&self, expires_at: Millis) -> bool {
-        expires_at <= self.ends_at
+        expires_at <= self.accepts_by
     }
 
     /// Whether callers have had time to move to other routers.
--- a/crates/admit/tests/closing_machine.rs
+++ b/crates/admit/tests/closing_machine.rs
@@ -14,6 +14,7 @@
     kill_ms: 8_000,
     exit_margin_ms: 500,
     answer_margin_ms: 200,
+    give_up_ms: 6_967,
     signal_delay_ms: 1_000,
     linger_ms: 500,
 };
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -16,8 +16,12 @@
 const USABLE_LEASES: f64 = 3.0;
 /// The process exits this long before it would be killed, in milliseconds.
 const EXIT_MARGIN_MS: u64 = 500;
-/// Requests without a response are answered this long before the exit, in milliseconds.
+/// Requests without a response are answered this long before the exit at the latest, in milliseconds.
 const ANSWER_MARGIN_MS: u64 = 200;
+/// Part of the time until the kill before which no request is given up for the silence of its target.
+const PATIENT_PART: f64 = 5.0 / 6.0;
+/// The times of a stop count from a check that may have been this long before the signal, in milliseconds.
+const MAX_NOTICED_MS: u64 = 300;
 /// Longest time between the platform's SIGTERM and its arrival for which nothing is lost, in
 /// milliseconds.
 const SIGNAL_DELAY_MS: u64 = 1_000;
@@ -48,7 +52,7 @@
     context.signal_watch.check(now);
     let Some(plan) = context.stop_plan() else { return };
     if plan.is_ended(now) {
-        context.ending.cancel();
+        end_silent_calls(context, plan);
     }
     if plan.exit_in_ms(now.saturating_sub(CUT_DELAY_MS)) == 0 {
         context.exiting.cancel();
@@ -62,6 +66,7 @@
         kill_ms: millis(settings.bounds.stop_s),
         exit_margin_ms: EXIT_MARGIN_MS,
         answer_margin_ms: ANSWER_MARGIN_MS,
+        give_up_ms: millis(settings.bounds.stop_s * PATIENT_PART) + MAX_NOTICED_MS,
         signal_delay_ms: SIGNAL_DELAY_MS,
         linger_ms: LINGER_MS,
     };
@@ -76,20 +81,15 @@
     let noticed_ms = context.now().saturating_sub(unsignalled_at);
     tracing::info!(unit = "run", event = "drain", open = context.open_calls(), noticed_ms);
     let mut cycle = StopCycle::new(plan);
-    let (mut is_notice_over, mut is_ended) = (false, false);
+    let mut is_notice_over = false;
     let mut reported_at = context.now();
     let mut open = OpenCounts::default();
     loop {
+        check_signal(context);
         if context.now() >= reported_at + PROGRESS_PERIOD_MS {
             reported_at = context.now();
             log_progress(context, unsignalled_at, open.queued);
         }
-        if plan.is_ended(context.now()) {
-            context.ending.cancel();
-            if !std::mem::replace(&mut is_ended, true) {
-                log_open_calls(context, unsignalled_at);
-            }
-        }
         if plan.is_notice_over(context.now()) {
             if !is_notice_over {
                 let after_ms = context.now().saturating_sub(unsignalled_at);
@@ -151,6 +151,12 @@
     }
 }
 
+/// Answers the requests without a response, after all that are open were named, once.
+fn end_silent_calls(context: &GatewayContext, plan: StopPlan) {
+    context.open.end_log.call_once(|| log_open_calls(context, plan.unsignalled_at()));
+    context.ending.cancel();
+}
+
 /// Names the requests that are open at the end of a drain: a process that is killed before its exit
 /// reports none of them.
 fn log_open_calls(context: &GatewayContext, unsignalled_at: Millis) {
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -116,6 +116,7 @@
             kill_ms: context.settings.drain_ms,
             exit_margin_ms: 0,
             answer_margin_ms: 0,
+            give_up_ms: context.settings.drain_ms,
             signal_delay_ms: 0,
             linger_ms: LINGER_MS,
         },
