--- a/crates/admit/src/stop.rs
+++ b/crates/admit/src/stop.rs
@@ -22,7 +22,8 @@
     pub exit_margin_ms: Millis,
     /// Requests without a response are answered this long before the exit at the latest.
     pub answer_margin_ms: Millis,
-    /// No request is given up earlier than this after the signal: its target may still answer.
+    /// No request is given up earlier than this after the signal, if the exit leaves the time: its target
+    /// may still answer.
     pub give_up_ms: Millis,
     /// Longest time for which the signal may be on its way to the process: what is accepted times out
     /// as much earlier.
@@ -39,7 +40,7 @@
     unsignalled_at: Millis,
     /// Until then callers may come that have not learned of the stop.
     notice_until: Millis,
-    /// What is accepted times out by then. Invariant: not after `ends_at`, if the stop leaves time for that.
+    /// What is accepted times out by then. Invariant: not after `ends_at`.
     accepts_by: Millis,
     /// When requests without a response are answered. Invariant: not after `exits_at`.
     ends_at: Millis,
@@ -52,11 +53,12 @@
     pub fn new(unsignalled_at: Millis, settings: &StopSettings) -> Self {
         let exits_at = unsignalled_at + settings.kill_ms.saturating_sub(settings.exit_margin_ms);
         let answered_by = exits_at.saturating_sub(settings.answer_margin_ms);
+        let accepts_by = answered_by.saturating_sub(settings.signal_delay_ms);
         Self {
             unsignalled_at,
             notice_until: unsignalled_at + settings.notice_ms,
-            accepts_by: answered_by.saturating_sub(settings.signal_delay_ms),
-            ends_at: answered_by.min(unsignalled_at + settings.give_up_ms),
+            accepts_by,
+            ends_at: answered_by.min(unsignalled_at + settings.give_up_ms).max(accepts_by),
             exits_at,
             linger_ms: settings.linger_ms,
         }
--- a/crates/gateway/src/open.rs
+++ b/crates/gateway/src/open.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, Once};
+use std::sync::{Arc, Mutex, OnceLock};
 
 use base::{Millis, Name};
 use inbound::OpenCounter;
@@ -17,7 +17,7 @@
 }
 
 /// What is open in the process.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct OpenWork {
     calls: AtomicUsize,
     /// Requests that have not been reported, each with its start.
@@ -28,25 +28,11 @@
     connections: AtomicUsize,
     /// Requests that ended since the signal to stop, by their end.
     stop_ends: Mutex<BTreeMap<CallEnd, usize>>,
-    /// Whether the requests that the end of a drain finds open were named.
-    pub(crate) end_log: Once,
+    /// Set once the requests that the end of a drain finds open were named.
+    pub(crate) end_log: OnceLock<()>,
     pub(crate) counter: OpenCounter,
 }
 
-impl Default for OpenWork {
-    fn default() -> Self {
-        Self {
-            calls: AtomicUsize::default(),
-            reports: Mutex::default(),
-            unwritten: AtomicUsize::default(),
-            connections: AtomicUsize::default(),
-            stop_ends: Mutex::default(),
-            end_log: Once::new(),
-            counter: OpenCounter::default(),
-        }
-    }
-}
-
 impl OpenWork {
     pub(crate) fn calls(&self) -> usize {
         self.calls.load(Ordering::SeqCst)
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -345,12 +345,16 @@
     call: &AdmittedCall,
     attempts: &Attempts,
 ) -> Result<(), RetryDenial> {
-    let denials = [
-        (attempts.sent >= call.routed.route.max_attempts, RetryDenial::Attempts),
-        (call.routed.remaining_ms(context.now()) == 0, RetryDenial::Time),
-        (!may_retry(context, call), RetryDenial::Quarantine),
-    ];
-    denials.into_iter().find(|(applies, _)| *applies).map_or(Ok(()), |(_, denial)| Err(denial))
+    if attempts.sent >= call.routed.route.max_attempts {
+        return Err(RetryDenial::Attempts);
+    }
+    if !may_retry(context, call) {
+        return Err(RetryDenial::Quarantine);
+    }
+    if call.routed.remaining_ms(context.now()) == 0 {
+        return Err(RetryDenial::Time);
+    }
+    Ok(())
 }
 
 /// Returns the refusal of a request that failed for a lack of this router's own; `None` if
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -153,7 +153,7 @@
 
 /// Answers the requests without a response, after all that are open were named, once.
 fn end_silent_calls(context: &GatewayContext, plan: StopPlan) {
-    context.open.end_log.call_once(|| log_open_calls(context, plan.unsignalled_at()));
+    context.open.end_log.get_or_init(|| log_open_calls(context, plan.unsignalled_at()));
     context.ending.cancel();
 }
 
