--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,6 +38,7 @@
 mod reload;
 mod report;
 mod resources;
+mod retry;
 mod rounds;
 mod run;
 mod sampling;
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -10,13 +10,12 @@
 use outbound::ExchangeError;
 use quarantine::crash_evidence;
 use target::{OutstandingKey, RequestOutcome, TargetEntry, TargetKey};
-use thiserror::Error;
 
 use crate::answers::{record_backoff, record_leaving};
 use crate::call::AdmittedCall;
 use crate::cold::{record_answered, record_unwritten, record_written};
 use crate::context::GatewayContext;
-use crate::crashes::{crash_suspects, may_retry, record_complete, record_crash};
+use crate::crashes::{crash_suspects, record_complete, record_crash};
 use crate::downtime::{record_reached, record_refused};
 use crate::exchange::{OwnResponse, TargetResponse, exchange};
 use crate::headers::build_request;
@@ -25,6 +24,7 @@
 use crate::permits::record_limit;
 use crate::platform::NamedLimit;
 use crate::refusal::{Refusal, RefusalCause};
+use crate::retry::take_retry;
 use crate::select::{
     PermittedTarget, SelectionEstimate, record_rate_outcome, select_permitted_target,
 };
@@ -296,67 +296,6 @@
     targets.backoff_ms(service, now).map_or(TARGET_RETRY_MS, |wait_ms| wait_ms.max(TARGET_RETRY_MS))
 }
 
-/// Why a request is not sent once more.
-#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
-pub(crate) enum RetryDenial {
-    #[error("its attempts are used up")]
-    Attempts,
-    #[error("targets may crash under it")]
-    Quarantine,
-    #[error("its time is over")]
-    Time,
-    #[error("the retry budget is used up")]
-    Budget,
-}
-
-/// Takes one retry from the budget, if the route, the remaining time and the budget allow the request
-/// to be sent once more.
-///
-/// # Errors
-/// Returns what does not allow it.
-pub(crate) fn take_retry(
-    worker: &Worker,
-    call: &AdmittedCall,
-    attempts: &Attempts,
-) -> Result<(), RetryDenial> {
-    let context = &worker.context;
-    check_retry(context, call, attempts)?;
-    let is_taken = context.retries().try_take(&call.routed.service, context.now());
-    is_taken.then_some(()).ok_or(RetryDenial::Budget)
-}
-
-/// The same for a stream that may be complete, whose end is to be confirmed.
-///
-/// # Errors
-/// Returns what does not allow it.
-pub(crate) fn take_confirmation(
-    worker: &Worker,
-    call: &AdmittedCall,
-    attempts: &Attempts,
-) -> Result<(), RetryDenial> {
-    let context = &worker.context;
-    check_retry(context, call, attempts)?;
-    let is_taken = context.retries().try_take_spare(&call.routed.service, context.now());
-    is_taken.then_some(()).ok_or(RetryDenial::Budget)
-}
-
-fn check_retry(
-    context: &GatewayContext,
-    call: &AdmittedCall,
-    attempts: &Attempts,
-) -> Result<(), RetryDenial> {
-    if attempts.sent >= call.routed.route.max_attempts {
-        return Err(RetryDenial::Attempts);
-    }
-    if !may_retry(context, call) {
-        return Err(RetryDenial::Quarantine);
-    }
-    if call.routed.remaining_ms(context.now()) == 0 {
-        return Err(RetryDenial::Time);
-    }
-    Ok(())
-}
-
 /// Returns the refusal of a request that failed for a lack of this router's own; `None` if
 /// the error is that of the target. The attempt began at `since`.
 fn own_lack_refusal(worker: &Worker, cause: &ExchangeError, since: Millis) -> Option<Refusal> {
--- a/crates/gateway/src/signals.rs
+++ b/crates/gateway/src/signals.rs
@@ -12,6 +12,12 @@
 /// its handler.
 const HANDLER_DELAY_MS: Millis = 100;
 
+/// Time between two checks of a thread that is on time, in milliseconds.
+const CHECK_PERIOD_MS: Millis = 50;
+/// Longest time in milliseconds by which a check that counts is older than the signal, while a thread
+/// is on time: two checks follow each other after a whole number of periods.
+pub(crate) const MAX_NOTICED_MS: Millis = 2 * (HANDLER_DELAY_MS + CHECK_PERIOD_MS);
+
 /// Signals that the process catches. To be installed first in `main`.
 #[derive(Debug)]
 pub struct ProcessSignals {
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -11,6 +11,7 @@
 use crate::report::CallEnd;
 use crate::serve;
 use crate::settings::GatewaySettings;
+use crate::signals::MAX_NOTICED_MS;
 
 /// Callers may use an address response for this many times its lease.
 const USABLE_LEASES: f64 = 3.0;
@@ -20,8 +21,6 @@
 const ANSWER_MARGIN_MS: u64 = 200;
 /// Part of the time until the kill before which no request is given up for the silence of its target.
 const PATIENT_PART: f64 = 5.0 / 6.0;
-/// The times of a stop count from a check that may have been this long before the signal, in milliseconds.
-const MAX_NOTICED_MS: u64 = 300;
 /// Longest time between the platform's SIGTERM and its arrival for which nothing is lost, in
 /// milliseconds.
 const SIGNAL_DELAY_MS: u64 = 1_000;
