review: case 14, a quarantine that another service lifts

Cause: what is due for a trial and was held at a version that the service of the present request does not have is lifted, also if it was held for another service, and counts as sound for 30 s.

--- a/review/cases-3.rs
+++ b/review/cases-3.rs
@@ -1068,6 +1068,121 @@
     );
 }
 
+// ---------------------------------------------------------------- case: lifted by another service
+
+/// A part crashes the engines of one service, and a request the replicas of another one. Both are put
+/// in quarantine, and come on.
+fn lifted_by_another_service() -> ! {
+    const PART: &str = "bad0bad0";
+    const PART_PERIOD_MS: u64 = 1_400;
+    const BODY: &[u8] = b"{\"seat\":\"14C\",\"crew\":\"unusual\"}";
+    const REQUEST_PERIOD_MS: u64 = 1_700;
+    const LENGTH_MS: u64 = 98_000;
+    let has_request = std::env::var("PART_ONLY").map_or(true, |value| value != "1");
+    let mut fleet = Fleet::new(
+        3,
+        7,
+        &config(&[
+            route("sea", "streaming", "llm", 1, 10_000),
+            route("ping", "idempotent", "app", 2, 600),
+            route("book", "non_idempotent", "app", 1, 600),
+        ]),
+    );
+    let (by_part, by_request): (Arc<Mutex<Vec<u64>>>, Arc<Mutex<Vec<u64>>>) = Default::default();
+    let handler: Arc<OnceLock<Arc<ReplicaHandler>>> = Arc::default();
+    let (own_handler, own_part, own_request) =
+        (Arc::clone(&handler), Arc::clone(&by_part), Arc::clone(&by_request));
+    let answer: Arc<ReplicaHandler> = Arc::new(move |replica, request, stream| {
+        let parts = request.headers.get("poplarspring-prefix-hash").unwrap_or_default();
+        let crashes = if parts.contains(PART) {
+            &own_part
+        } else if request.body == BODY {
+            &own_request
+        } else if replica.service == "llm" {
+            sleep_ms(30);
+            return write_events(request, stream, 4, true);
+        } else {
+            sleep_ms(15);
+            return write_answer(request, stream, &"s".repeat(800));
+        };
+        crashes.lock().unwrap().push(now_ms());
+        record(&format!("{} crashes ({})", replica.id, request.id()));
+        let (replica, handler) = (Arc::clone(replica), Arc::clone(&own_handler));
+        thread::spawn(move || {
+            sleep_ms(1_000);
+            replica.start(handler.get().unwrap());
+            replica.publish();
+        });
+        After::Crash
+    });
+    let answer = handler.get_or_init(|| answer);
+    for number in 0..7 {
+        let replica = match number {
+            0..4 => fleet.replica(number, "llm", 48, "engine-7"),
+            _ => fleet.replica(number, "app", 6, "app-3"),
+        };
+        replica.start(answer);
+        replica.publish();
+    }
+    fleet.start_gateways(3);
+    let addresses = fleet.addresses();
+    let prompt = |part: &str, number: u64| {
+        let own = 0x5000_0000 + number;
+        let mut call = Call::new("POST", &format!("/sea/{number}"), b"{\"area\":\"Bass\"}", 10_000);
+        call.headers = vec![
+            ("Poplarspring-Model", "m".into()),
+            ("Poplarspring-Token-Usage", "450,32".into()),
+            ("Poplarspring-Prefix-Hash", format!("5c1e07a2:120,{part}:80,{own:x}:250")),
+        ];
+        call
+    };
+    let stop = Arc::new(AtomicBool::new(false));
+    let callers = addresses.clone();
+    let sound = repeat(40, &stop, move |number| {
+        let address = callers[number as usize % callers.len()];
+        prompt(&format!("91bd{:04x}", number % 40), number).send(address, &next_id());
+    });
+    let callers = addresses.clone();
+    let pings = repeat(60, &stop, move |number| {
+        let address = callers[number as usize % callers.len()];
+        Call::new("GET", &format!("/ping/{number}"), b"", 600).send(address, &next_id());
+    });
+    sleep_ms(2_000);
+    let mut harmful = Vec::new();
+    if has_trouble() {
+        let callers = addresses.clone();
+        harmful.push(repeat(PART_PERIOD_MS, &stop, move |number| {
+            let address = callers[number as usize % callers.len()];
+            let answer = prompt(PART, 1_000_000 + number).send(address, &next_id());
+            record(&format!("request {number} with the part: {}", answer.status));
+        }));
+    }
+    if has_trouble() && has_request {
+        harmful.push(repeat(REQUEST_PERIOD_MS, &stop, move |number| {
+            let address = addresses[number as usize % addresses.len()];
+            let answer = Call::new("POST", "/book/confirm", BODY, 600).send(address, &next_id());
+            record(&format!("retry {number} of the request: {}", answer.status));
+        }));
+    }
+    sleep_ms(LENGTH_MS.saturating_sub(now_ms()));
+    stop.store(true, Ordering::SeqCst);
+    for thread in [sound, pings].into_iter().chain(harmful) {
+        let _ = thread.join();
+    }
+    let late = |arrivals: &Mutex<Vec<u64>>, crash: usize| {
+        let arrivals = arrivals.lock().unwrap();
+        let since = arrivals.get(crash - 1).map_or(u64::MAX, |at| at.saturating_add(CONTACT_MS));
+        arrivals.iter().filter(|at| **at > since).count()
+    };
+    let (parts, requests) = (late(&by_part, 5), late(&by_request, 3));
+    fleet.finish(
+        parts > 3 || requests > 3,
+        &format!(
+            "{parts} requests with the part reached replicas later than {CONTACT_MS} ms after the fifth crash, and {requests} retries of the request later than {CONTACT_MS} ms after its third; 3 of each are allowed"
+        ),
+    );
+}
+
 // ---------------------------------------------------------------- case: an end that is read late
 
 /// Events of each stream of the case below, each of which has some bytes.
@@ -1237,6 +1352,7 @@
         Some("crashes-at-versions") => crashes_at_several_versions(),
         Some("crashes-unmarked") => crashes_without_marked_answers(),
         Some("forgotten-wait") => forgotten_wait(),
+        Some("lifted") => lifted_by_another_service(),
         Some("late-end") => end_read_late(),
         _ => could_not_run("no such case"),
     }
