--- a/review/cases-3.rs
+++ b/review/cases-3.rs
@@ -1194,6 +1194,11 @@
     let (Ok(address), id) = (address.parse(), id.clone()) else { std::process::exit(2) };
     let answer = move |request: &Request, stream: &mut TcpStream| {
         if request.headers.get("poplarspring-expect-instance").is_some_and(|known| known != id) {
+            let head = format!(
+                "HTTP/1.1 421 Misdirected Request\r\nPoplarspring-Request-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                request.id()
+            );
+            let _ = stream.write_all(head.as_bytes());
             return After::Close;
         }
         let headers = replica_headers(request);
